--- a/cmd/hawthornstreamd/main.go
+++ b/cmd/hawthornstreamd/main.go
@@ -14,8 +14,11 @@
 	"io"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 
+	"github.com/phuslu/log"
+
 	"hawthornstream/internal/adapters/logging"
 	"hawthornstream/internal/app"
 	"hawthornstream/internal/settings"
@@ -28,6 +31,21 @@
 	exitBadSettings = 2
 )
 
+// reload reads the settings again at each hangup. The level of the log follows;
+// what else has changed holds from the next start.
+func reload(s *settings.Settings, path string, hangups <-chan os.Signal, logger *log.Logger) {
+	for range hangups {
+		next, err := settings.Load(path)
+		if err != nil {
+			logger.Error().Str("event", "settings-not-reloaded").Err(err).Msg("")
+			continue
+		}
+		logger.SetLevel(log.ParseLevel(next.Log.Level))
+		next.Log = s.Log
+		logger.Info().Str("event", "settings-reloaded").Bool("restartNeeded", !reflect.DeepEqual(s, next)).Msg("")
+	}
+}
+
 // signalBuffer holds the signal that begins a stop and the one that ends it.
 const signalBuffer = 2
 
@@ -52,13 +70,16 @@
 		fmt.Fprintln(stdout, "settings are valid")
 		return exitOK
 	}
-	return serve(s, stderr)
+	return serve(s, *path, stdout)
 }
 
-func serve(s *settings.Settings, stderr io.Writer) int {
-	logger := logging.New(stderr, s.Log.Level)
+func serve(s *settings.Settings, path string, stdout io.Writer) int {
+	logger := logging.New(stdout, s.Log.Level)
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	hangups := make(chan os.Signal, signalBuffer)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go reload(s, path, hangups, logger)
 	daemon, err := app.New(s, logger)
 	if err != nil {
 		logger.Error().Str("event", "daemon-not-composed").Err(err).Msg("")
--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -16,7 +16,9 @@
 type Request struct {
 	Address string
 	Method  string
-	// Target is path and query.
+	// Host is the host that the request names; empty for the address.
+	Host string
+	// Target is path and query, which are sent as they are.
 	Target string
 	Header http.Header
 	Body   []byte
@@ -89,15 +91,18 @@
 }
 
 func newHTTPRequest(ctx context.Context, request *Request) (*http.Request, error) {
-	url := "http://" + request.Address + request.Target
 	var body io.Reader
 	if len(request.Body) > 0 {
 		body = bodyReader{bytes.NewReader(request.Body)}
 	}
-	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, url, body)
+	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, "http://"+request.Address, body)
 	if err != nil {
 		return nil, err
 	}
+	httpRequest.URL.Opaque = request.Target
+	if request.Host != "" {
+		httpRequest.Host = request.Host
+	}
 	httpRequest.ContentLength = int64(len(request.Body))
 	httpRequest.Header = request.Header
 	return httpRequest, nil
@@ -136,6 +141,11 @@
 	return r.ContentLength >= 0 || chunked
 }
 
+// Reused says whether the connection had carried another request before.
+func (e *Exchange) Reused() bool {
+	return e.conn.reused
+}
+
 // Names says whether the answer names the given request.
 func (e *Exchange) Names(id ports.RequestID) bool {
 	return e.Response.Header.Get(HeaderRequestID) == string(id)
--- a/internal/adapters/callerhttp/call.go
+++ b/internal/adapters/callerhttp/call.go
@@ -19,11 +19,11 @@
 // newCall makes the parts of a call that both kinds of service share.
 func newCall(
 	r *http.Request,
-	in *intake,
+	in *Intake,
 	name ports.ServiceName,
 	kind configuration.ServiceKind,
 ) (*ports.Call, *outcome.Refusal) {
-	document := &in.configuration.Document
+	document := &in.Configuration.Document
 	service, found := document.Services[name]
 	if !found || service.Kind != kind {
 		return nil, notRun(outcome.ReasonUnknownService, "no "+string(kind)+" service has the name "+strconv.Quote(string(name)))
@@ -38,8 +38,8 @@
 	}
 	now := time.Now()
 	call := &ports.Call{
-		ID:           in.id,
-		Workspace:    in.workspace,
+		ID:           in.ID,
+		Workspace:    in.Workspace,
 		Service:      name,
 		Kind:         kind,
 		Class:        className,
--- a/internal/adapters/callerhttp/chat.go
+++ b/internal/adapters/callerhttp/chat.go
@@ -16,7 +16,10 @@
 }
 
 // parseChat makes a call to a model engine.
-func (s *Server) parseChat(r *http.Request, in *intake) (*ports.Call, *outcome.Refusal) {
+func parseChat(r *http.Request, in *Intake) (*ports.Call, *outcome.Refusal) {
+	if refusal := admitOwn(r, in); refusal != nil {
+		return nil, refusal
+	}
 	var request chatRequest
 	if err := json.Unmarshal(in.body, &request); err != nil {
 		return nil, notRun(outcome.ReasonMalformedRequest, "the body is not a chat completions request: "+err.Error())
@@ -30,6 +33,9 @@
 	return call, nil
 }
 
-func refuseUnknownPath(r *http.Request, _ *intake) (*ports.Call, *outcome.Refusal) {
+func refuseUnknownPath(r *http.Request, in *Intake) (*ports.Call, *outcome.Refusal) {
+	if refusal := admitOwn(r, in); refusal != nil {
+		return nil, refusal
+	}
 	return nil, notRun(outcome.ReasonUnknownPath, "nothing is served for "+r.Method+" on this path")
 }
--- a/internal/adapters/callerhttp/routes.go
+++ b/internal/adapters/callerhttp/routes.go
@@ -23,31 +23,53 @@
 	headerContentType    = "Content-Type"
 )
 
-// callParser turns a request into a call. It fails with a refusal.
-type callParser func(r *http.Request, in *intake) (*ports.Call, *outcome.Refusal)
+// own is the daemon's own dialect: the chat completions API of model engines,
+// and plain services by their name in the path.
+type own struct{}
 
-func (s *Server) routes() http.Handler {
+// Handler implements Dialect.
+func (own) Handler(handle func(Parser) http.Handler) http.Handler {
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
-	router.Handle("/v1/chat/completions", s.handle(s.parseChat)).Methods(http.MethodPost)
-	router.Handle("/services/{service}", s.handle(s.parseService))
-	router.Handle("/services/{service}/{path:.*}", s.handle(s.parseService))
-	router.NotFoundHandler = s.handle(refuseUnknownPath)
-	router.MethodNotAllowedHandler = s.handle(refuseUnknownPath)
+	router.Handle("/v1/chat/completions", handle(parseChat)).Methods(http.MethodPost)
+	router.Handle("/services/{service}", handle(parseService))
+	router.Handle("/services/{service}/{path:.*}", handle(parseService))
+	router.NotFoundHandler = handle(refuseUnknownPath)
+	router.MethodNotAllowedHandler = handle(refuseUnknownPath)
 	return router
 }
 
-// intake is what is known of a request before it is a call.
-type intake struct {
-	id            ports.RequestID
-	configuration *ports.Configuration
-	workspace     ports.WorkspaceID
-	body          []byte
+// Identify implements Dialect: the id is new and shown in every answer.
+func (own) Identify(w http.ResponseWriter, _ *http.Request) ports.RequestID {
+	id := log.NewXID().String()
+	w.Header().Set(headerRequestID, id)
+	return ports.RequestID(id)
 }
 
-func (s *Server) handle(parse callParser) http.Handler {
+// Mark implements Dialect.
+func (own) Mark(header http.Header, id ports.RequestID) {
+	header.Set(headerRequestID, string(id))
+	header.Set(headerRun, string(outcome.Ran))
+}
+
+// Refuse implements Dialect.
+func (own) Refuse(w http.ResponseWriter, id ports.RequestID, refusal *outcome.Refusal) {
+	writeProblem(w, id, refusal)
+}
+
+// admitOwn checks the key and reads the body.
+func admitOwn(r *http.Request, in *Intake) *outcome.Refusal {
+	workspace, refusal := authenticate(r, in.Configuration)
+	if refusal != nil {
+		return refusal
+	}
+	in.Workspace = workspace
+	in.body, refusal = in.ReadBody()
+	return refusal
+}
+
+func (s *Server) handle(parse Parser) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		in := &intake{id: ports.RequestID(log.NewXID().String())}
-		w.Header().Set(headerRequestID, string(in.id))
+		in := &Intake{ID: s.dialect.Identify(w, r)}
 		if s.announced.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -64,8 +86,8 @@
 func (s *Server) admit(
 	w http.ResponseWriter,
 	r *http.Request,
-	in *intake,
-	parse callParser,
+	in *Intake,
+	parse Parser,
 ) (*ports.Call, *outcome.Refusal) {
 	if overLimit(r.Context()) {
 		w.Header().Set("Connection", "close")
@@ -74,26 +96,23 @@
 	if headerSize(r) > s.limits.Header.Bytes() {
 		return nil, notRun(outcome.ReasonHeaderTooLarge, "the header exceeds "+s.limits.Header.String())
 	}
-	in.configuration = s.configuration.Current()
-	if in.configuration == nil {
+	in.Configuration = s.configuration.Current()
+	if in.Configuration == nil {
 		refusal := notRun(outcome.ReasonNotReady, "no configuration is in force yet")
 		refusal.RetryAfter = notReadyRetryAfter
 		return nil, refusal
 	}
-	var refusal *outcome.Refusal
-	if in.workspace, refusal = authenticate(r, in.configuration); refusal != nil {
-		return nil, refusal
-	}
-	if in.body, refusal = s.readBody(w, r); refusal != nil {
+	if refusal := s.stopping(); refusal != nil {
 		return nil, refusal
 	}
+	in.ReadBody = func() ([]byte, *outcome.Refusal) { return s.readBody(w, r) }
 	return parse(r, in)
 }
 
 func (s *Server) execute(w http.ResponseWriter, r *http.Request, call *ports.Call) {
 	s.open.add(call)
 	defer s.open.remove(call)
-	sink := newSink(w)
+	sink := newSink(w, func(header http.Header) { s.dialect.Mark(header, call.ID) })
 	result := s.executor.Execute(r.Context(), call, sink)
 	if result.Refusal == nil {
 		return
@@ -104,18 +123,18 @@
 		// without the end of the body.
 		panic(http.ErrAbortHandler)
 	}
-	writeProblem(w, call.ID, result.Refusal)
+	s.dialect.Refuse(w, call.ID, result.Refusal)
 }
 
-func (s *Server) refuse(w http.ResponseWriter, in *intake, refusal *outcome.Refusal) {
+func (s *Server) refuse(w http.ResponseWriter, in *Intake, refusal *outcome.Refusal) {
 	s.count(refusal)
 	s.logger.Info().
 		Str("event", "request-refused").
-		Str("request", string(in.id)).
-		Str("workspace", string(in.workspace)).
+		Str("request", string(in.ID)).
+		Str("workspace", string(in.Workspace)).
 		Str("reason", string(refusal.Reason)).
 		Msg("")
-	writeProblem(w, in.id, refusal)
+	s.dialect.Refuse(w, in.ID, refusal)
 }
 
 func (s *Server) count(refusal *outcome.Refusal) {
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"hawthornstream/internal/adapters/tlsfiles"
+	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/ports"
 	"hawthornstream/internal/settings"
 )
@@ -25,6 +26,9 @@
 	// keepAlivePeriod is the time between two TCP probes of a quiet
 	// connection.
 	keepAlivePeriod = 15 * time.Second
+	// stoppingRetryAfter is when a caller that met a stop should come back: the
+	// balancer has another daemon for it.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// headerSlack is how much a header may exceed its limit and still get a
 	// typed refusal, in bytes.
 	headerSlack = 64 << 10
@@ -37,11 +41,13 @@
 	limits        settings.Limits
 	configuration ports.ConfigurationSource
 	executor      ports.Executor
+	dialect       Dialect
 	scope         tally.Scope
 	logger        *log.Logger
 	connections   *connectionGauge
 	open          *openCalls
 	announced     atomic.Bool
+	closing       atomic.Bool
 	http          *http.Server
 }
 
@@ -50,6 +56,7 @@
 	s *settings.Settings,
 	configuration ports.ConfigurationSource,
 	executor ports.Executor,
+	dialect Dialect,
 	scope tally.Scope,
 	logger *log.Logger,
 ) *Server {
@@ -60,13 +67,14 @@
 		limits:        s.Limits,
 		configuration: configuration,
 		executor:      executor,
+		dialect:       dialect,
 		scope:         scope,
 		logger:        logger,
 		open:          newOpenCalls(),
 		connections:   newConnectionGauge(s.Limits.Connections, scope.Gauge("connections")),
 	}
 	server.http = &http.Server{
-		Handler:           server.routes(),
+		Handler:           dialect.Handler(server.handle),
 		MaxHeaderBytes:    int(s.Limits.Header.Bytes()) + headerSlack,
 		ReadHeaderTimeout: s.Limits.ReceiveWithin.Value(),
 		IdleTimeout:       idleTimeout,
@@ -103,10 +111,22 @@
 	s.announced.Store(true)
 }
 
+// stopping refuses a call that comes over a connection which the stop has not
+// closed yet: it might not end in time.
+func (s *Server) stopping() *outcome.Refusal {
+	if !s.closing.Load() {
+		return nil
+	}
+	refusal := notRun(outcome.ReasonStopping, "the daemon is stopping")
+	refusal.RetryAfter = stoppingRetryAfter
+	return refusal
+}
+
 // Stop takes no new connection and waits until each call in progress has ended
 // or the context is done. Calls that are still open then are named in the log
 // and cut off.
 func (s *Server) Stop(ctx context.Context) error {
+	s.closing.Store(true)
 	err := s.http.Shutdown(ctx)
 	if err == nil {
 		return nil
--- a/internal/adapters/callerhttp/server_test.go
+++ b/internal/adapters/callerhttp/server_test.go
@@ -82,7 +82,7 @@
 		t.Fatal(err)
 	}
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	server := New(s, source{revision: revision}, executor, scope, logger)
+	server := New(s, source{revision: revision}, executor, Own(), scope, logger)
 	listener := httptest.NewUnstartedServer(nil)
 	listener.Config = server.http
 	listener.Start()
--- a/internal/adapters/callerhttp/service.go
+++ b/internal/adapters/callerhttp/service.go
@@ -34,7 +34,10 @@
 }
 
 // parseService makes a call to a plain service.
-func (s *Server) parseService(r *http.Request, in *intake) (*ports.Call, *outcome.Refusal) {
+func parseService(r *http.Request, in *Intake) (*ports.Call, *outcome.Refusal) {
+	if refusal := admitOwn(r, in); refusal != nil {
+		return nil, refusal
+	}
 	variables := mux.Vars(r)
 	name := ports.ServiceName(variables["service"])
 	call, refusal := newCall(r, in, name, configuration.ServiceKindPlain)
--- a/internal/adapters/callerhttp/sink.go
+++ b/internal/adapters/callerhttp/sink.go
@@ -6,7 +6,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/ports"
 )
 
@@ -17,25 +16,25 @@
 type sink struct {
 	writer     http.ResponseWriter
 	controller *http.ResponseController
-	begun      bool
+	// mark sets the daemon's own fields of the answer's header.
+	mark  func(http.Header)
+	begun bool
 }
 
-func newSink(w http.ResponseWriter) *sink {
-	return &sink{writer: w, controller: http.NewResponseController(w)}
+func newSink(w http.ResponseWriter, mark func(http.Header)) *sink {
+	return &sink{writer: w, controller: http.NewResponseController(w), mark: mark}
 }
 
 // Begin implements ports.AnswerSink.
 func (s *sink) Begin(status int, header ports.Header) error {
 	s.begun = true
 	target := s.writer.Header()
-	id := target.Get(headerRequestID)
 	for name, values := range header {
 		target[name] = values
 	}
-	target.Set(headerRequestID, id)
-	target.Set(headerRun, string(outcome.Ran))
+	s.mark(target)
 	s.writer.WriteHeader(status)
-	return s.flush()
+	return nil
 }
 
 // Write implements ports.AnswerSink.
--- a/internal/adapters/callerhttp/status.go
+++ b/internal/adapters/callerhttp/status.go
@@ -29,6 +29,8 @@
 	outcome.ReasonServerUnreachable:      http.StatusBadGateway,
 	outcome.ReasonServerOverloaded:       http.StatusServiceUnavailable,
 	outcome.ReasonServerLeaving:          http.StatusServiceUnavailable,
+	outcome.ReasonServerFailed:           http.StatusBadGateway,
+	outcome.ReasonFairShareExceeded:      http.StatusTooManyRequests,
 	outcome.ReasonConnectionBroken:       http.StatusBadGateway,
 	outcome.ReasonConnectionSilent:       http.StatusGatewayTimeout,
 	outcome.ReasonAnswerMismatch:         http.StatusBadGateway,
--- a/internal/adapters/enginehttp/backend_test.go
+++ b/internal/adapters/enginehttp/backend_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"hawthornstream/internal/adapters/backendhttp"
+	"hawthornstream/internal/adapters/sse"
 	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/ports"
 )
@@ -98,7 +99,7 @@
 		}
 		data := fmt.Sprintf("{\"n\":%d}", id)
 		if id == e.events+1 {
-			data = doneData
+			data = sse.DoneData
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, data)
 	}
@@ -150,7 +151,7 @@
 	for id := 1; id <= events; id++ {
 		fmt.Fprintf(&all, "id: %d\ndata: {\"n\":%d}\n\n", id, id)
 	}
-	fmt.Fprintf(&all, "id: %d\ndata: %s\n\n", events+1, doneData)
+	fmt.Fprintf(&all, "id: %d\ndata: %s\n\n", events+1, sse.DoneData)
 	return all.String()
 }
 
@@ -200,7 +201,7 @@
 	if result.Reason == "" || result.End != outcome.Ran {
 		t.Errorf("got %+v", result)
 	}
-	if strings.Contains(out.body.String(), doneData) {
+	if strings.Contains(out.body.String(), sse.DoneData) {
 		t.Error("the answer looks whole")
 	}
 	if id := <-e.cancelled; id != "r1" {
--- a/internal/adapters/enginehttp/stream.go
+++ b/internal/adapters/enginehttp/stream.go
@@ -12,6 +12,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"hawthornstream/internal/adapters/backendhttp"
+	"hawthornstream/internal/adapters/sse"
 	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/pause"
 	"hawthornstream/internal/ports"
@@ -138,13 +139,13 @@
 
 // relay passes events on until the stream is whole or breaks.
 func (r *streamRun) relay(ctx context.Context, exchange *backendhttp.Exchange) step {
-	events := newEventReader(exchange)
+	events := sse.NewReader(exchange)
 	for {
-		next, err := events.next()
+		next, err := events.Next()
 		if err != nil {
 			return r.broken(ctx, err)
 		}
-		if next.id != 0 && next.id <= r.last {
+		if next.ID != 0 && next.ID <= r.last {
 			continue
 		}
 		if !r.continues(next) {
@@ -153,7 +154,7 @@
 		if !r.pass(next, exchange.Response) {
 			return step{result: backendhttp.Gone()}
 		}
-		if next.done {
+		if next.Done {
 			finishIfEnded(exchange)
 			return step{result: ports.RunResult{End: outcome.Ran}}
 		}
@@ -161,22 +162,22 @@
 }
 
 // continues says whether the event follows the last one without a gap.
-func (r *streamRun) continues(next event) bool {
-	if next.id == 0 {
-		return next.done && r.last > 0
+func (r *streamRun) continues(next sse.Event) bool {
+	if next.ID == 0 {
+		return next.Done && r.last > 0
 	}
-	return next.id == r.last+1
+	return next.ID == r.last+1
 }
 
 // pass hands an event to the caller and counts its cost.
-func (r *streamRun) pass(next event, response *http.Response) bool {
+func (r *streamRun) pass(next sse.Event, response *http.Response) bool {
 	if r.report.FirstByteAfter == 0 {
 		r.report.FirstByteAfter = time.Since(r.sent)
 	}
-	if next.id != 0 {
-		r.last = next.id
+	if next.ID != 0 {
+		r.last = next.ID
 	}
-	if !next.done {
+	if !next.Done {
 		r.report.Cost++
 		r.progress(r.report.Cost)
 	}
@@ -188,12 +189,13 @@
 			return false
 		}
 	}
-	return r.sink.Write(next.raw) == nil
+	return r.sink.Write(next.Raw) == nil
 }
 
 func (r *streamRun) broken(ctx context.Context, err error) step {
-	var invalid *invalidEventError
-	if errors.Is(err, io.EOF) || errors.As(err, &invalid) {
+	var invalid *sse.InvalidEventError
+	var cut *sse.BrokenEventError
+	if errors.Is(err, io.EOF) || errors.As(err, &invalid) || errors.As(err, &cut) {
 		return step{result: backendhttp.Truncated(outcome.Unknown), resumable: true}
 	}
 	return step{result: backendhttp.Failed(ctx, err), resumable: true}
--- a/internal/adapters/objectapi/client.go
+++ b/internal/adapters/objectapi/client.go
@@ -44,7 +44,7 @@
 func New(base string, scope tally.Scope) *Client {
 	return &Client{
 		base:  strings.TrimSuffix(base, "/") + "/v1/objects/",
-		http:  newHTTPClient(),
+		http:  NewHTTPClient(),
 		scope: scope,
 	}
 }
--- a/internal/adapters/objectapi/transport.go
+++ b/internal/adapters/objectapi/transport.go
@@ -13,6 +13,11 @@
 	// unacknowledgedTimeout is how long sent bytes may stay unacknowledged
 	// before the system closes the connection.
 	unacknowledgedTimeout = 3 * time.Second
+	// keepAliveIdle, keepAliveEvery and keepAliveCount find a connection that
+	// went silent while a watch waits on it.
+	keepAliveIdle  = time.Second
+	keepAliveEvery = time.Second
+	keepAliveCount = 2
 	// idleTimeout is how long an unused connection is kept.
 	idleTimeout = 30 * time.Second
 	// maxIdle is the most unused connections that are kept.
@@ -21,11 +26,15 @@
 	tcpUserTimeout = 0x12
 )
 
-func newHTTPClient() *http.Client {
+// NewHTTPClient returns a client for the platform's API, whichever form that
+// has. A connection that went silent is found by keep-alive probes.
+func NewHTTPClient() *http.Client {
 	dialer := &net.Dialer{
-		Timeout:   connectTimeout,
-		KeepAlive: unacknowledgedTimeout,
-		Control:   limitUnacknowledged,
+		Timeout: connectTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveEvery, Count: keepAliveCount,
+		},
+		Control: limitUnacknowledged,
 	}
 	return &http.Client{
 		Transport: &http.Transport{
--- a/internal/adapters/operatorhttp/manager.go
+++ b/internal/adapters/operatorhttp/manager.go
@@ -43,11 +43,12 @@
 	Scope     tally.Scope
 	Directory ports.Directory
 	Source    ports.ConfigurationSource
-	Editor    ports.ConfigurationEditor
-	Readiness []ports.ReadinessCheck `group:"readiness"`
-	Metrics   http.Handler           `name:"metrics" optional:"true"`
-	Sharing   ports.SharingView      `optional:"true"`
-	History   ports.CallHistory      `optional:"true"`
+	// Editor is missing where operators write to the platform themselves.
+	Editor    ports.ConfigurationEditor `optional:"true"`
+	Readiness []ports.ReadinessCheck    `group:"readiness"`
+	Metrics   http.Handler              `name:"metrics" optional:"true"`
+	Sharing   ports.SharingView         `optional:"true"`
+	History   ports.CallHistory         `optional:"true"`
 }
 
 // Manager serves the operators' address. It holds no mutex.
@@ -118,13 +119,15 @@
 		router.Handle("/v1"+path, m.authenticate(handler)).Methods(method)
 	}
 	api(http.MethodGet, "/configuration", m.getConfiguration)
-	api(http.MethodPut, "/configuration", m.putConfiguration)
-	api(http.MethodGet, "/configuration/history", m.getHistory)
-	api(http.MethodGet, "/configuration/revisions/{number}", m.getRevision)
-	api(http.MethodPost, "/configuration/diff", m.postDiff)
-	api(http.MethodGet, "/planned-stops", m.getStops)
-	api(http.MethodPost, "/planned-stops", m.postStop)
-	api(http.MethodDelete, "/planned-stops/{vm}", m.deleteStop)
+	if m.params.Editor != nil {
+		api(http.MethodPut, "/configuration", m.putConfiguration)
+		api(http.MethodGet, "/configuration/history", m.getHistory)
+		api(http.MethodGet, "/configuration/revisions/{number}", m.getRevision)
+		api(http.MethodPost, "/configuration/diff", m.postDiff)
+		api(http.MethodGet, "/planned-stops", m.getStops)
+		api(http.MethodPost, "/planned-stops", m.postStop)
+		api(http.MethodDelete, "/planned-stops/{vm}", m.deleteStop)
+	}
 	api(http.MethodGet, "/status", m.getStatus)
 	api(http.MethodGet, "/explain/{request}", m.getExplanation)
 	router.NotFoundHandler = http.HandlerFunc(m.unknownPath)
--- a/internal/adapters/servicehttp/backend.go
+++ b/internal/adapters/servicehttp/backend.go
@@ -125,7 +125,9 @@
 			return broken(ctx, exchange.Response, err)
 		}
 	}
-	if begin(exchange.Response, sink) != nil || len(held) > 0 && sink.Write(held) != nil {
+	// An empty part still sends the header, which a caller of an event stream
+	// waits for.
+	if begin(exchange.Response, sink) != nil || sink.Write(held) != nil {
 		return backendhttp.Gone()
 	}
 	return relayRest(ctx, exchange, sink)
--- a/internal/app/cluster/list.go
+++ b/internal/app/cluster/list.go
@@ -25,6 +25,8 @@
 
 // lastList holds the last believed VM list.
 type lastList struct {
+	// exact lists are believed however much they lost.
+	exact       bool
 	vms         []ports.VM
 	shrunkSince time.Time
 }
@@ -37,7 +39,7 @@
 	if len(vms) == 0 {
 		return listEmpty
 	}
-	if l.shrunk(vms) {
+	if !l.exact && l.shrunk(vms) {
 		if l.shrunkSince.IsZero() {
 			l.shrunkSince = now
 		}
--- a/internal/app/cluster/manager.go
+++ b/internal/app/cluster/manager.go
@@ -34,11 +34,14 @@
 	Incarnation ports.Incarnation
 	// ListPeriod is the time between two reads of the VM list.
 	ListPeriod time.Duration
-	Membership membership.Config
-	List       ports.VMList
-	Transport  Transport
-	Logger     *log.Logger
-	Scope      tally.Scope
+	// ListIsExact says that a list without most of the VMs is true: the
+	// platform's store tells of each VM that left.
+	ListIsExact bool
+	Membership  membership.Config
+	List        ports.VMList
+	Transport   Transport
+	Logger      *log.Logger
+	Scope       tally.Scope
 }
 
 // Manager implements ports.Directory, ports.RevisionExchange and ports.Leaver.
@@ -68,6 +71,7 @@
 		options: options,
 		current: func() uint64 { return 0 },
 		observe: func(ports.DaemonID, uint64) {},
+		list:    lastList{exact: options.ListIsExact},
 		table:   membership.New(options.Self, options.Incarnation, options.Membership, random),
 	}
 	m.view.Store((&view{}).withDaemons(options.Self, m.table.Live()))
--- a/internal/app/cluster/module.go
+++ b/internal/app/cluster/module.go
@@ -17,12 +17,11 @@
 	"hawthornstream/internal/settings"
 )
 
-// Module provides ports.Directory, ports.PeerTransport, ports.VMList,
-// ports.RevisionExchange and ports.Leaver.
+// Module provides ports.Directory, ports.PeerTransport, ports.RevisionExchange
+// and ports.Leaver. It needs ports.VMList.
 var Module = fx.Module("cluster",
 	fx.Provide(
 		newIncarnation,
-		fx.Annotate(provideList, fx.As(new(ports.VMList))),
 		fx.Annotate(provideTransport, fx.As(new(Transport)), fx.As(new(ports.PeerTransport))),
 		fx.Annotate(provideManager,
 			fx.As(fx.Self()),
@@ -34,6 +33,11 @@
 	),
 )
 
+// ListModule provides ports.VMList from the URL in the settings.
+var ListModule = fx.Module("vmlist",
+	fx.Provide(fx.Annotate(provideList, fx.As(new(ports.VMList)))),
+)
+
 // newIncarnation returns the start time in milliseconds, so that a later run
 // of a daemon has a higher number.
 func newIncarnation() ports.Incarnation {
@@ -116,6 +120,7 @@
 		Self:        selfVM(s),
 		Incarnation: incarnation,
 		ListPeriod:  s.Platform.VMListPeriod.Value(),
+		ListIsExact: s.Platform.Interface == settings.InterfaceObjects,
 		Membership:  membership.DefaultConfig(),
 		List:        list,
 		Transport:   transport,
--- a/internal/app/cluster/module_test.go
+++ b/internal/app/cluster/module_test.go
@@ -79,6 +79,7 @@
 		}),
 		fx.Provide(func() tally.Scope { return tally.NewTestScope("", nil) }),
 		Module,
+		ListModule,
 		fx.Populate(&d.directory, &d.leaver, &d.revisions),
 		fx.Invoke(func(in readinessIn) { d.readiness = in.Checks }),
 	)
--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"runtime"
+	"runtime/debug"
 
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
@@ -26,6 +27,7 @@
 	"hawthornstream/internal/adapters/objectapi"
 	"hawthornstream/internal/adapters/operatorhttp"
 	"hawthornstream/internal/app/cluster"
+	"hawthornstream/internal/app/dispatch"
 	"hawthornstream/internal/app/execution"
 	"hawthornstream/internal/app/lifecycle"
 	"hawthornstream/internal/app/liveconfig"
@@ -33,10 +35,16 @@
 	"hawthornstream/internal/app/workpool"
 	"hawthornstream/internal/ports"
 	"hawthornstream/internal/settings"
+	"hawthornstream/platform"
 )
 
-// minWorkers is the least number of workers of the pool.
-const minWorkers = 4
+const (
+	// minWorkers is the least number of workers of the pool.
+	minWorkers = 4
+	// memoryUse is the part of the memory limit that the Go runtime aims to stay
+	// within; the rest is for sockets and stacks that it does not count.
+	memoryUse = 0.7
+)
 
 // Daemon is one composed daemon.
 type Daemon struct {
@@ -47,17 +55,16 @@
 
 // New composes a daemon. It fails when a part can't be constructed.
 func New(s *settings.Settings, logger *log.Logger) (*Daemon, error) {
+	limitMemory(s.Limits.Memory)
 	d := &Daemon{logger: logger}
 	d.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(s, logger),
 		fx.Provide(provideMetrics, provideWorkers),
-		objectapi.Module,
 		cluster.Module,
-		liveconfig.Module,
-		sharing.Module,
 		execution.Module,
 		operatorhttp.Module,
+		outside(s),
 		fx.Provide(
 			callerhttp.New,
 			provideLifecycle,
@@ -72,6 +79,21 @@
 	return d, nil
 }
 
+// outside returns the parts that depend on the platform's interface.
+func outside(s *settings.Settings) fx.Option {
+	if s.Platform.Interface == settings.InterfaceObjects {
+		return fx.Options(platform.Module, liveconfig.FollowerModule, dispatch.Module)
+	}
+	return fx.Options(
+		objectapi.Module,
+		cluster.ListModule,
+		liveconfig.Module,
+		sharing.Module,
+		execution.OwnModule,
+		fx.Provide(callerhttp.Own),
+	)
+}
+
 // Run starts the daemon and serves until a signal or a planned stop, then lets
 // each call in progress end. A second signal ends it at once. It fails when the
 // start or the stop fails, or when calls were cut off.
@@ -101,6 +123,14 @@
 	return drainErr
 }
 
+// limitMemory makes the collector work harder before the process reaches its
+// limit.
+func limitMemory(limit settings.Size) {
+	if limit > 0 {
+		debug.SetMemoryLimit(int64(memoryUse * float64(limit.Bytes())))
+	}
+}
+
 func (d *Daemon) awaitStop(signals <-chan os.Signal) lifecycle.Cause {
 	select {
 	case <-signals:
--- /dev/null
+++ b/internal/app/dispatch/manager.go
@@ -0,0 +1,186 @@
+// Package dispatch gives calls their slots without asking another daemon. It
+// keeps the tables that internal/core/dispatch decides on, the calls that wait a
+// short time for room, and the exchange of loads with other daemons. It is
+// imported by internal/app.
+//
+// One mutex guards all tables. No other manager and no transport is called
+// while it is held.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+
+	"hawthornstream/internal/core/configuration"
+	core "hawthornstream/internal/core/dispatch"
+	"hawthornstream/internal/ports"
+)
+
+// Module provides ports.SlotBroker and ports.SharingView.
+var Module = fx.Module("dispatch",
+	fx.Provide(
+		NewManager,
+		func(m *Manager) ports.SlotBroker { return m },
+		func(m *Manager) ports.SharingView { return m },
+	),
+	fx.Invoke(func(lifecycle fx.Lifecycle, m *Manager) {
+		lifecycle.Append(fx.StartStopHook(m.Run, m.Stop))
+	}),
+)
+
+// Params are what the manager is built from.
+type Params struct {
+	fx.In
+
+	Logger        *log.Logger
+	Scope         tally.Scope
+	Directory     ports.Directory
+	Transport     ports.PeerTransport
+	Configuration ports.ConfigurationSource
+}
+
+// Manager implements ports.SlotBroker. It is safe for concurrent use.
+type Manager struct {
+	logger        *log.Logger
+	scope         tally.Scope
+	directory     ports.Directory
+	transport     ports.PeerTransport
+	configuration ports.ConfigurationSource
+	changed       chan struct{}
+	stop          chan struct{}
+	stopOnce      sync.Once
+	loops         sync.WaitGroup
+
+	// mu guards everything below.
+	mu       sync.Mutex
+	stopping bool
+	document *configuration.Document
+	pools    map[ports.ServiceName]*core.Pool
+	shares   *core.Shares
+	waiters  []*waiter
+	peers    map[ports.DaemonID]*peerLoad
+	sequence uint64
+}
+
+// peerLoad is what another daemon told last.
+type peerLoad struct {
+	sequence uint64
+	at       time.Time
+	loads    map[ports.ServiceName]map[ports.VMName]core.Load
+}
+
+// NewManager returns a manager whose handlers are registered. It does nothing
+// before Run.
+func NewManager(p Params) *Manager {
+	m := &Manager{
+		logger:        p.Logger,
+		scope:         p.Scope.SubScope("dispatch"),
+		directory:     p.Directory,
+		transport:     p.Transport,
+		configuration: p.Configuration,
+		changed:       make(chan struct{}, 1),
+		stop:          make(chan struct{}),
+		document:      &configuration.Document{},
+		pools:         make(map[ports.ServiceName]*core.Pool),
+		shares:        core.NewShares(),
+		peers:         make(map[ports.DaemonID]*peerLoad),
+	}
+	p.Transport.Handle(ports.KindLoad,
+		func() ports.Message { return &ports.LoadMessage{} },
+		func(from ports.DaemonID, message ports.Message) { m.onLoad(from, message.(*ports.LoadMessage)) })
+	p.Directory.OnChange(m.noteChange)
+	p.Configuration.OnChange(func(*ports.Configuration) { m.noteChange() })
+	return m
+}
+
+// Run starts the manager's loop.
+func (m *Manager) Run() {
+	m.loops.Go(m.loop)
+}
+
+// Stop refuses the waiting calls and ends the loop.
+func (m *Manager) Stop() {
+	m.stopOnce.Do(func() {
+		m.mu.Lock()
+		m.stopping = true
+		for _, w := range m.waiters {
+			w.refuse(stoppingRefusal())
+		}
+		m.waiters = nil
+		m.mu.Unlock()
+		close(m.stop)
+	})
+	m.loops.Wait()
+}
+
+func (m *Manager) noteChange() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Manager) loop() {
+	m.refresh()
+	loads := time.NewTimer(loadPeriod)
+	defer loads.Stop()
+	rates := time.Now()
+	for {
+		select {
+		case <-m.stop:
+			return
+		case <-m.changed:
+			m.refresh()
+		case now := <-loads.C:
+			withRates := now.Sub(rates) >= ratesPeriod
+			if withRates {
+				rates = now
+			}
+			m.tellPeers(now, withRates)
+			m.retryWaiters(now)
+			loads.Reset(jittered(m.loadPeriod()))
+		}
+	}
+}
+
+func jittered(period time.Duration) time.Duration {
+	return time.Duration(float64(period) * (0.9 + 0.2*rand.Float64()))
+}
+
+// refresh takes the configuration and the directory over.
+func (m *Manager) refresh() {
+	current := m.configuration.Current()
+	self := m.directory.Self()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if current == nil {
+		return
+	}
+	m.document = &current.Document
+	for name, service := range m.document.Services {
+		pool, ok := m.pools[name]
+		if !ok {
+			pool = core.NewPool(self)
+			m.pools[name] = pool
+		}
+		pool.SetService(service.Kind == configuration.ServiceKindEngine, service.MemoryTokens)
+		pool.SetServers(m.directory.Servers(name))
+	}
+	for name := range m.pools {
+		if _, ok := m.document.Services[name]; !ok {
+			delete(m.pools, name)
+		}
+	}
+	m.mergePeers(time.Now())
+	m.settleWaiters(time.Now())
+}
+
+// shareTarget returns a workspace's share target. The caller holds the mutex.
+func (m *Manager) shareTarget(workspace ports.WorkspaceID) float64 {
+	return m.document.Workspaces[workspace].WithDefaults().ShareTarget
+}
--- /dev/null
+++ b/internal/app/dispatch/status.go
@@ -0,0 +1,28 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+
+	"hawthornstream/internal/ports"
+)
+
+// Services implements ports.SharingView.
+func (m *Manager) Services() []ports.ServiceStatus {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var statuses []ports.ServiceStatus
+	for _, name := range slices.Sorted(maps.Keys(m.pools)) {
+		status := ports.ServiceStatus{Service: name, Queued: make(map[ports.WorkspaceID]int)}
+		for _, w := range m.waiters {
+			if w.call.Service == name {
+				status.Queued[w.call.Workspace]++
+			}
+		}
+		for _, server := range m.pools[name].Servers() {
+			status.Running += server.Own().Calls
+		}
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
--- a/internal/app/execution/budgets.go
+++ b/internal/app/execution/budgets.go
@@ -10,12 +10,18 @@
 
 // budgets holds the retry budget of each service.
 type budgets struct {
+	// policy is asked at each retry: this daemon's part of a budget of the fleet
+	// follows the number of daemons.
+	policy    func() retry.Policy
 	mu        sync.Mutex
 	byService map[ports.ServiceName]*retry.Budget
 }
 
-func newBudgets() *budgets {
-	return &budgets{byService: make(map[ports.ServiceName]*retry.Budget)}
+func newBudgets(policy func() retry.Policy) *budgets {
+	if policy == nil {
+		policy = retry.DefaultPolicy
+	}
+	return &budgets{policy: policy, byService: make(map[ports.ServiceName]*retry.Budget)}
 }
 
 func (b *budgets) first(service ports.ServiceName, now time.Time) {
@@ -25,9 +31,10 @@
 }
 
 func (b *budgets) spend(service ports.ServiceName, now time.Time) bool {
+	policy := b.policy()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.of(service).Spend(now)
+	return b.of(service).Spend(now, policy)
 }
 
 func (b *budgets) of(service ports.ServiceName) *retry.Budget {
--- a/internal/app/execution/manager.go
+++ b/internal/app/execution/manager.go
@@ -13,6 +13,7 @@
 	"hawthornstream/internal/core/configuration"
 	core "hawthornstream/internal/core/idempotency"
 	"hawthornstream/internal/core/outcome"
+	"hawthornstream/internal/core/retry"
 	"hawthornstream/internal/ports"
 )
 
@@ -46,12 +47,16 @@
 
 // Params are what the manager is built from.
 type Params struct {
-	Logger    *log.Logger
-	Scope     tally.Scope
-	Broker    ports.SlotBroker
-	Backends  Backends
+	Logger   *log.Logger
+	Scope    tally.Scope
+	Broker   ports.SlotBroker
+	Backends Backends
+	// Keys may be nil where callers give no idempotency keys.
 	Keys      KeyKeeper
 	MaxAnswer int64
+	// RetryPolicy returns this daemon's retry policy; nil stands for
+	// retry.DefaultPolicy.
+	RetryPolicy func() retry.Policy
 }
 
 // NewManager returns a manager without calls.
@@ -63,7 +68,7 @@
 		backends:  p.Backends,
 		keys:      p.Keys,
 		maxAnswer: p.MaxAnswer,
-		budgets:   newBudgets(),
+		budgets:   newBudgets(p.RetryPolicy),
 		history:   newHistory(),
 	}
 }
--- a/internal/app/execution/module.go
+++ b/internal/app/execution/module.go
@@ -21,12 +21,11 @@
 // pruneEvery is the time between two searches for old idle connections.
 const pruneEvery = 5 * time.Second
 
-// Module provides the executor, the call history and the backends.
+// Module provides the executor, the call history and the client of backend
+// servers. It needs Backends.
 var Module = fx.Module("execution",
-	idempotency.Module,
 	fx.Provide(
 		newClient,
-		newBackends,
 		newManager,
 		fx.Annotate(func(c *backendhttp.Client) *backendhttp.Client { return c }, fx.As(new(sharing.LoadReader))),
 		fx.Annotate(func(m *Manager) *Manager { return m }, fx.As(new(ports.Executor))),
@@ -34,6 +33,13 @@
 	),
 )
 
+// OwnModule provides the backends that speak the daemon's own interface, and the
+// records of idempotency keys.
+var OwnModule = fx.Module("backends",
+	idempotency.Module,
+	fx.Provide(newBackends),
+)
+
 func newClient(lifecycle fx.Lifecycle) *backendhttp.Client {
 	client := backendhttp.NewClient()
 	stop := make(chan struct{})
@@ -84,17 +90,19 @@
 type managerParams struct {
 	fx.In
 
-	Settings *settings.Settings
-	Logger   *log.Logger
-	Scope    tally.Scope
-	Broker   ports.SlotBroker
-	Backends Backends
-	Keys     *idempotency.Keys
+	Settings  *settings.Settings
+	Logger    *log.Logger
+	Scope     tally.Scope
+	Broker    ports.SlotBroker
+	Backends  Backends
+	Directory ports.Directory
+	Keys      *idempotency.Keys `optional:"true"`
 }
 
 func newManager(p managerParams) *Manager {
 	return NewManager(Params{
 		Logger: p.Logger, Scope: p.Scope, Broker: p.Broker, Backends: p.Backends, Keys: p.Keys,
-		MaxAnswer: p.Settings.Limits.Answer.Bytes(),
+		MaxAnswer:   p.Settings.Limits.Answer.Bytes(),
+		RetryPolicy: newPolicyShare(p.Settings.Retries, p.Directory).policy,
 	})
 }
--- a/internal/app/execution/run.go
+++ b/internal/app/execution/run.go
@@ -48,11 +48,25 @@
 			return outcome.Result{End: last.End}
 		}
 		if !r.again(ctx, last) {
-			return r.refuse(r.refusalOf(last))
+			return r.giveUp(last)
 		}
 	}
 }
 
+// giveUp ends the call with the server's own answer of failure, if it has one
+// that the caller can still get, and else with a refusal.
+func (r *run) giveUp(last ports.RunResult) outcome.Result {
+	if last.Failure == nil || r.sink.Begun() {
+		return r.refuse(r.refusalOf(last))
+	}
+	if r.sink.Begin(last.Failure.Status, last.Failure.Header) != nil || r.sink.Write(last.Failure.Body) != nil {
+		return r.refuse(&outcome.Refusal{
+			Reason: outcome.ReasonCallerGone, End: last.End, Detail: "the caller hung up",
+		})
+	}
+	return outcome.Result{End: retry.Merge(r.end, last.End)}
+}
+
 // try takes a slot and runs the call once. It returns a refusal when there was
 // no slot.
 func (r *run) try(ctx context.Context) (ports.RunResult, *outcome.Refusal) {
@@ -69,7 +83,9 @@
 	}
 	runCtx, cancel := r.runContext(ctx)
 	defer cancel()
-	result := r.backend.Run(runCtx, r.attempt(), server, r.sink, slot.Progress)
+	attempt := r.attempt()
+	attempt.PromptHolder = slot.Origin().PromptHolder
+	result := r.backend.Run(runCtx, attempt, server, r.sink, slot.Progress)
 	slot.Release(result.Report)
 	r.note(server, result)
 	return result, nil
@@ -90,9 +106,10 @@
 }
 
 // attempt returns the call as it is sent: a retry has a request id of its own,
-// so that no answer to an earlier try is taken for its answer.
+// so that no answer to an earlier try is taken for its answer, unless the
+// caller's id is fixed.
 func (r *run) attempt() *ports.Call {
-	if r.sent == 0 {
+	if r.sent == 0 || r.call.FixedID {
 		return r.call
 	}
 	copied := *r.call
@@ -105,6 +122,10 @@
 	if handed(result) {
 		r.sent++
 	}
+	r.call.LastEvent = max(r.call.LastEvent, result.LastEvent)
+	if result.Reason != "" {
+		r.call.Tried = append(r.call.Tried, server.Name)
+	}
 	r.life.add(time.Now(), "run", fmt.Sprintf("server=%s run=%s reason=%s cost=%d first-byte-after=%s",
 		server.Name, result.End, result.Reason, result.Report.Cost, result.Report.FirstByteAfter))
 }
@@ -123,7 +144,8 @@
 	now := time.Now()
 	verdict := retry.Decide(retry.Try{
 		End: last.End, Reason: last.Reason, Handed: handed(last), Begun: r.sink.Begun(),
-		Repeatable: r.call.Repeatable, Tries: r.tries, Sent: r.sent, Left: r.call.Deadline.Sub(now),
+		Repeatable: r.call.Repeatable, Resumable: r.call.Resumable, MaxSent: r.call.MaxServers,
+		Tries: r.tries, Sent: r.sent, Left: r.call.Deadline.Sub(now),
 	})
 	if verdict == retry.Stop {
 		return false
--- a/internal/app/lifecycle/manager.go
+++ b/internal/app/lifecycle/manager.go
@@ -11,6 +11,7 @@
 
 	"github.com/phuslu/log"
 
+	"hawthornstream/internal/core/configuration"
 	"hawthornstream/internal/ports"
 	"hawthornstream/internal/settings"
 )
@@ -24,6 +25,10 @@
 	CausePlanned Cause = "planned-stop"
 )
 
+// killMargin is the time between the end of a stop and the platform's kill, for
+// the process to exit in.
+const killMargin = 400 * time.Millisecond
+
 // CallerServer is the part of the callers' server that a stop needs.
 type CallerServer interface {
 	// Announce asks callers to send no further request on open connections.
@@ -68,7 +73,7 @@
 ) *Manager {
 	m := &Manager{
 		self:          s.VM.Name,
-		limits:        s.Stop,
+		limits:        beforeKill(s.Stop),
 		configuration: configuration,
 		callers:       callers,
 		peers:         peers,
@@ -80,6 +85,14 @@
 	return m
 }
 
+// beforeKill shortens a stop that the platform's kill would cut off.
+func beforeKill(limits settings.Stop) settings.Stop {
+	if limits.KilledAfter > 0 {
+		limits.Within = min(limits.Within, limits.KilledAfter-configuration.Duration(killMargin))
+	}
+	return limits
+}
+
 // Requested is closed once a planned stop of this daemon is due.
 func (m *Manager) Requested() <-chan struct{} {
 	return m.requested
--- a/internal/app/liveconfig/manager.go
+++ b/internal/app/liveconfig/manager.go
@@ -23,6 +23,11 @@
 // Two mutexes: delivery is taken before mu, and mu is never held during a call
 // to another component.
 type Manager struct {
+	feed ports.RevisionFeed
+	// everyoneWatches makes each daemon follow the feed itself.
+	everyoneWatches bool
+	// objects holds the chain that operators' edits go to; nil where operators
+	// write to the platform themselves.
 	objects   ports.ObjectAPI
 	directory ports.Directory
 	peers     ports.PeerTransport
@@ -55,7 +60,25 @@
 	_ ports.ConfigurationEditor = (*Manager)(nil)
 )
 
-// New returns a manager with its message handlers registered.
+// NewFollower returns a manager of revisions that operators write to the
+// platform themselves. Each daemon follows the feed, and its peers bring what
+// the platform keeps from it. Its message handlers are registered.
+func NewFollower(
+	feed ports.RevisionFeed,
+	directory ports.Directory,
+	peers ports.PeerTransport,
+	exchange ports.RevisionExchange,
+	logger *log.Logger,
+	scope tally.Scope,
+) *Manager {
+	m := New(nil, directory, peers, exchange, logger, scope)
+	m.feed = feed
+	m.everyoneWatches = true
+	return m
+}
+
+// New returns a manager of the revision chain that the daemons keep, with its
+// message handlers registered.
 func New(
 	objects ports.ObjectAPI,
 	directory ports.Directory,
@@ -65,6 +88,7 @@
 	scope tally.Scope,
 ) *Manager {
 	m := &Manager{
+		feed:      chainFeed{objects: objects},
 		objects:   objects,
 		directory: directory,
 		peers:     peers,
--- a/internal/app/liveconfig/platform.go
+++ b/internal/app/liveconfig/platform.go
@@ -20,28 +20,33 @@
 	lastRetry  = 2 * time.Second
 )
 
-// followPlatform watches the configuration's object while this daemon is a
-// watcher, and reads it while the daemon has no configuration.
+// followPlatform watches the accepted revisions while this daemon is a watcher,
+// and reads the newest while the daemon has no configuration.
 func (m *Manager) followPlatform(ctx context.Context) {
 	retry := newRetry()
 	var seen ports.ObjectVersion
 	for ctx.Err() == nil {
-		object, asked, err := m.askPlatform(ctx, seen)
+		update, asked, err := m.askPlatform(ctx, seen)
+		var corrupt *configuration.CorruptChainError
 		switch {
 		case ctx.Err() != nil:
 			return
 		case !asked:
 			m.wait(ctx, roleCheckPeriod)
+		case errors.As(err, &corrupt):
+			m.countIgnored(ignoredCorrupt, sourcePlatform)
+			m.logger.Error().Str("event", "configuration-corrupt").Uint64("version", uint64(update.Version)).
+				Err(err).Msg("")
+			seen = update.Version
+			m.setPlatformFault("")
 		case err != nil:
 			m.setPlatformFault(err.Error())
 			m.wait(ctx, retry.NextBackOff())
 		default:
 			retry.Reset()
 			m.setPlatformFault("")
-			if object.Version != seen {
-				m.adoptObject(object)
-			}
-			seen = object.Version
+			m.adoptUpdate(update)
+			seen = update.Version
 		}
 	}
 }
@@ -55,33 +60,29 @@
 
 // askPlatform watches as a watcher, reads as a daemon without configuration,
 // and else does not ask.
-func (m *Manager) askPlatform(ctx context.Context, seen ports.ObjectVersion) (ports.Object, bool, error) {
+func (m *Manager) askPlatform(ctx context.Context, seen ports.ObjectVersion) (ports.RevisionUpdate, bool, error) {
 	self := m.directory.Self()
 	order := domainOrder(m.directory.Daemons(), self.Domain)
 	switch {
-	case isWatcher(order, self.Name):
-		object, err := m.objects.Watch(ctx, configuration.ObjectName, seen)
-		return object, true, err
+	case m.everyoneWatches || isWatcher(order, self.Name):
+		update, err := m.feed.Await(ctx, seen)
+		return update, true, err
 	case m.Current() == nil:
-		object, err := m.objects.Get(ctx, configuration.ObjectName)
-		return object, true, err
+		update, err := m.feed.Newest(ctx)
+		return update, true, err
 	default:
-		return ports.Object{}, false, nil
+		return ports.RevisionUpdate{}, false, nil
 	}
 }
 
-// adoptObject puts the current revision of a chain in force and spreads it.
-func (m *Manager) adoptObject(object ports.Object) {
-	chain, err := configuration.ParseChain(object.Value)
-	if err != nil {
-		m.countIgnored(ignoredCorrupt, sourcePlatform)
-		m.logger.Error().Str("event", "configuration-corrupt").Uint64("version", uint64(object.Version)).
-			Err(err).Msg("")
+// adoptUpdate puts a revision of the platform in force and spreads it.
+func (m *Manager) adoptUpdate(update ports.RevisionUpdate) {
+	if update.Revision == nil {
 		return
 	}
-	previous, taken := m.adopt(chain.Current, sourcePlatform)
-	if taken {
-		m.spread(previous, chain.Current)
+	previous, taken := m.adopt(update.Revision, sourcePlatform)
+	if taken && !m.everyoneWatches {
+		m.spread(previous, update.Revision)
 	}
 }
 
--- a/internal/app/liveconfig/state_test.go
+++ b/internal/app/liveconfig/state_test.go
@@ -235,7 +235,11 @@
 
 func (w *stepWorld) read(daemon, version int) {
 	if version >= 0 {
-		w.managers[daemon].adoptObject(w.platform.versions[version])
+		update, err := readChainObject(w.platform.versions[version])
+		if err != nil {
+			panic(err)
+		}
+		w.managers[daemon].adoptUpdate(update)
 	}
 }
 
--- a/internal/core/configuration/document.go
+++ b/internal/core/configuration/document.go
@@ -37,6 +37,10 @@
 	Classes map[ClassName]Class `json:"classes" validate:"required,min=1,dive,keys,name,endkeys"`
 	// Workspaces by name.
 	Workspaces map[WorkspaceID]Workspace `json:"workspaces" validate:"dive,keys,name,endkeys"`
+	// Routes by name, for callers that name a host and a path.
+	Routes map[RouteName]Route `json:"routes,omitempty" validate:"dive,keys,name,endkeys"`
+	// Limits bound what callers may send. Optional.
+	Limits Limits `json:"limits,omitzero"`
 	// PlannedStops lists the daemons' VMs that operators want stopped.
 	PlannedStops []PlannedStop `json:"plannedStops,omitempty" validate:"dive"`
 }
@@ -53,6 +57,15 @@
 	// ProgressWithin is the longest silence of a running answer before its
 	// connection is suspected. Default: 10s; 100ms to 10m.
 	ProgressWithin Duration `json:"progressWithin,omitempty" validate:"omitempty,between=100ms 10m" fieldcheck:"notzero"`
+	// MaxConnections is the most connections that one backend server takes from
+	// all daemons. Default: no limit; 1 to 1000000.
+	MaxConnections int `json:"maxConnections,omitempty" validate:"omitempty,between=1 1000000" fieldcheck:"notzero"`
+	// HealthPath is what a backend server answers health checks on. Default:
+	// none.
+	HealthPath string `json:"healthPath,omitempty"`
+	// MemoryTokens is the memory of one engine in tokens. Default: unknown; 1 to
+	// 1000000000.
+	MemoryTokens int `json:"memoryTokens,omitempty" validate:"omitempty,between=1 1000000000" fieldcheck:"notzero"`
 }
 
 // Class is a class of work with its targets.
--- a/internal/core/configuration/revision.go
+++ b/internal/core/configuration/revision.go
@@ -20,6 +20,7 @@
 	Document Document `json:"document"`
 
 	workspaces map[string]WorkspaceID
+	routes     map[string][]*MatchedRoute
 }
 
 // NewRevision returns a checked revision with its digest and key index. It
@@ -38,6 +39,7 @@
 		Document:   document,
 	}
 	revision.workspaces = indexKeys(document)
+	revision.routes = indexRoutes(document)
 	return revision, nil
 }
 
--- a/internal/core/configuration/schema_test.go
+++ b/internal/core/configuration/schema_test.go
@@ -35,6 +35,8 @@
 		"class":       {schema.Defs["class"], reflect.TypeFor[Class]()},
 		"workspace":   {schema.Defs["workspace"], reflect.TypeFor[Workspace]()},
 		"plannedStop": {schema.Defs["plannedStop"], reflect.TypeFor[PlannedStop]()},
+		"route":       {schema.Defs["route"], reflect.TypeFor[Route]()},
+		"limits":      {schema.Defs["limits"], reflect.TypeFor[Limits]()},
 	} {
 		var fields []string
 		for i := range c.kind.NumField() {
--- a/internal/core/configuration/validate.go
+++ b/internal/core/configuration/validate.go
@@ -23,6 +23,7 @@
 	faults := fieldcheck.Validate(document)
 	faults = fieldcheck.Merge(faults, checkServices(document))
 	faults = fieldcheck.Merge(faults, checkClasses(document))
+	faults = fieldcheck.Merge(faults, checkRoutes(document))
 	faults = fieldcheck.Merge(faults, checkKeys(document))
 	faults = fieldcheck.Merge(faults, checkStops(document))
 	return faults
--- /dev/null
+++ b/internal/core/dispatch/pool.go
@@ -0,0 +1,237 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hawthornstream/internal/ports"
+)
+
+// What it costs to leave the best place, in time to the first byte.
+const (
+	// awayFromHome is the cost of a server that has to fetch the shared part.
+	awayFromHome = 60 * time.Millisecond
+	// otherDomain and otherRegion are the costs of links that are billed.
+	otherDomain = 10 * time.Millisecond
+	otherRegion = 80 * time.Millisecond
+	// failureCost is the cost of a server all of whose runs fail, as a part of
+	// the call's target.
+	failureCost = 2.0
+)
+
+// silentAfter is the time without a first byte from which a server counts as
+// silent, whatever waits there.
+const silentAfter = 1500 * time.Millisecond
+
+// Pool holds the backend servers of one service.
+type Pool struct {
+	engine  bool
+	self    ports.VM
+	memory  int
+	servers []*Server
+}
+
+// NewPool returns a pool without servers as the daemon of the given VM sees it.
+func NewPool(self ports.VM) *Pool {
+	return &Pool{self: self}
+}
+
+// SetService takes over what the configuration says of the service: whether it
+// consists of engines, and the memory of one in tokens, zero for unknown.
+func (p *Pool) SetService(engine bool, memory int) {
+	p.engine, p.memory = engine, memory
+}
+
+// SetServers replaces the list of backend servers. A server that started again
+// holds nothing of before.
+func (p *Pool) SetServers(vms []ports.VM) {
+	next := make([]*Server, 0, len(vms))
+	for _, vm := range vms {
+		server := p.find(vm.Name)
+		if server == nil || server.vm.Started != vm.Started || server.engine != p.engine {
+			server = &Server{engine: p.engine, model: newModel(p.engine), prompts: make(map[string]time.Time)}
+		}
+		server.vm = vm
+		server.distance = distance(p.self, vm)
+		next = append(next, server)
+	}
+	slices.SortFunc(next, func(a, b *Server) int { return cmp.Compare(a.vm.Name, b.vm.Name) })
+	p.servers = next
+}
+
+// SetOthers replaces the loads from the other daemons.
+func (p *Pool) SetOthers(loads map[ports.VMName]Load) {
+	for _, server := range p.servers {
+		server.others = loads[server.vm.Name]
+	}
+}
+
+// Servers returns the servers by name. The result must not be changed.
+func (p *Pool) Servers() []*Server {
+	return p.servers
+}
+
+func (p *Pool) find(name ports.VMName) *Server {
+	at, ok := slices.BinarySearchFunc(p.servers, name, func(s *Server, name ports.VMName) int {
+		return cmp.Compare(s.vm.Name, name)
+	})
+	if !ok {
+		return nil
+	}
+	return p.servers[at]
+}
+
+func distance(self, vm ports.VM) ports.Distance {
+	switch {
+	case self.Domain == vm.Domain:
+		return ports.DistanceDomain
+	case self.Region == vm.Region:
+		return ports.DistanceRegion
+	default:
+		return ports.DistanceFleet
+	}
+}
+
+// Choice is a server for a call.
+type Choice struct {
+	Server *Server
+	// Expected is the predicted time to the first byte.
+	Expected time.Duration
+	// Holder is another server that probably keeps the shared part; nil when
+	// the chosen one keeps it or nobody does.
+	Holder *Server
+}
+
+// Choose returns the server on which the call should run: the one with the
+// least predicted time to the first byte, where leaving a prompt's home, the
+// failure domain or the region counts as time. Nobody is left out by the
+// allowance: the caller compares it with what is expected. It returns false when
+// no server takes calls.
+func (p *Pool) Choose(now time.Time, work *Work) (Choice, bool) {
+	homes := p.homes(work)
+	failing := p.leastFailing(now)
+	var best Choice
+	var least time.Duration
+	for _, server := range p.servers {
+		if !server.takes(now, work) {
+			continue
+		}
+		home := homes.of(server)
+		holder := homes.holder(now, server, work)
+		expected := server.expect(now, server.uncached(now, work, holder != nil))
+		cost := expected + server.linkCost() + server.failurePenalty(now, failing, work)
+		if work.SharedKey != "" && home != server && !server.keeps(now, work.SharedKey) {
+			cost += awayFromHome
+		}
+		if !server.hasMemory(p.memory, work.OwnTokens+work.OutputTokens) {
+			cost += work.Target
+			expected += work.Target
+		}
+		if best.Server == nil || cost < least {
+			best, least = Choice{Server: server, Expected: expected, Holder: holder}, cost
+		}
+	}
+	return best, best.Server != nil
+}
+
+func (s *Server) linkCost() time.Duration {
+	switch s.distance {
+	case ports.DistanceDomain:
+		return 0
+	case ports.DistanceRegion:
+		return otherDomain
+	default:
+		return otherRegion
+	}
+}
+
+// failurePenalty makes a server that fails more often than the best one less
+// attractive.
+func (s *Server) failurePenalty(now time.Time, least float64, work *Work) time.Duration {
+	excess := s.health.failureShare(now) - least
+	return time.Duration(failureCost * max(excess, 0) * float64(work.Target))
+}
+
+// leastFailing is the share of failed runs of the best server.
+func (p *Pool) leastFailing(now time.Time) float64 {
+	least := 1.0
+	for _, server := range p.servers {
+		least = min(least, server.health.failureShare(now))
+	}
+	return least
+}
+
+// Take books a call on the chosen server and returns what it adds to the load.
+func (p *Pool) Take(now time.Time, choice Choice, work *Work) *Booking {
+	server := choice.Server
+	tokens := server.uncached(now, work, choice.Holder != nil)
+	booking := &Booking{
+		server: server, sent: now, tokens: tokens,
+		behind: server.own.Waiting + server.others.Waiting + tokens,
+		load:   Load{Calls: 1, Waiting: tokens, Memory: work.OwnTokens + work.OutputTokens},
+	}
+	server.own = server.own.Add(booking.load)
+	server.pending = append(server.pending, now)
+	server.remember(now, work.SharedKey)
+	return booking
+}
+
+// Booking is the load of one call on one server.
+type Booking struct {
+	server *Server
+	sent   time.Time
+	// tokens are the call's own prompt tokens to read, behind those with all
+	// that waited before it.
+	tokens, behind int
+	load           Load
+	begun          bool
+}
+
+// Begun tells that the first byte of the answer came.
+func (b *Booking) Begun(now time.Time) {
+	if b.begun {
+		return
+	}
+	b.begun = true
+	b.settle()
+	b.server.model.measured(now, b.behind, now.Sub(b.sent))
+}
+
+// settle takes the prompt out of what waits.
+func (b *Booking) settle() {
+	b.server.own.Waiting -= b.load.Waiting
+	b.load.Waiting = 0
+	b.server.forget(b.sent)
+}
+
+// Ended tells that the call ended, and what it showed of the server.
+func (b *Booking) Ended(now time.Time, fault ports.ServerFault) {
+	if b.begun && fault == ports.ServerFaultNone {
+		b.server.model.ran(now.Sub(b.sent))
+	}
+	if !b.begun {
+		b.settle()
+		fault = b.gaveUp(now, fault)
+	}
+	b.server.own.Calls -= b.load.Calls
+	b.server.own.Memory -= b.load.Memory
+	b.load = Load{}
+	if b.begun || fault != ports.ServerFaultNone {
+		b.server.health.ended(now, fault)
+	}
+}
+
+// gaveUp learns from a call that ended without a byte because nobody waited for
+// it any longer: its time is the least that the first byte would have taken.
+func (b *Booking) gaveUp(now time.Time, fault ports.ServerFault) ports.ServerFault {
+	waited := now.Sub(b.sent)
+	if fault != ports.ServerFaultNone || waited <= b.server.model.expect(now, b.behind) {
+		return fault
+	}
+	b.server.model.measured(now, b.behind, waited)
+	if waited >= silentAfter {
+		return ports.ServerFaultSilent
+	}
+	return fault
+}
--- /dev/null
+++ b/internal/core/dispatch/server.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hawthornstream/internal/ports"
+)
+
+const (
+	// promptsRemembered is the most shared prompt parts that are remembered of
+	// one server.
+	promptsRemembered = 1024
+	// promptKeptFor is how long a shared part that ran on a server is taken to be
+	// still in its memory.
+	promptKeptFor = 8 * time.Second
+	// fetchedPart is what fetching a shared part from another server costs, as a
+	// part of reading it.
+	fetchedPart = 0.1
+	// memoryUse is the part of an engine's memory that is filled: output may be
+	// longer than announced.
+	memoryUse = 0.9
+)
+
+// Server is what this daemon knows of one backend server.
+type Server struct {
+	vm       ports.VM
+	engine   bool
+	distance ports.Distance
+	own      Load
+	others   Load
+	model    model
+	health   health
+	// pending are the times at which the calls without a first byte were sent,
+	// oldest first.
+	pending []time.Time
+	prompts map[string]time.Time
+}
+
+// VM returns the server's VM.
+func (s *Server) VM() ports.VM {
+	return s.vm
+}
+
+// Own returns the load from this daemon.
+func (s *Server) Own() Load {
+	return s.own
+}
+
+// slots is the number of calls that run at once; zero when it is unknown.
+func (s *Server) slots() int {
+	return s.vm.Slots
+}
+
+// uncached returns the prompt tokens that the server has to read.
+func (s *Server) uncached(now time.Time, work *Work, fetch bool) int {
+	shared := work.SharedTokens
+	switch {
+	case s.keeps(now, work.SharedKey):
+		shared = 0
+	case fetch:
+		shared = int(fetchedPart * float64(shared))
+	}
+	return work.OwnTokens + shared
+}
+
+// keeps says whether a call with the shared part ran here a short time ago.
+func (s *Server) keeps(now time.Time, key string) bool {
+	seen, ok := s.prompts[key]
+	return ok && now.Sub(seen) < promptKeptFor
+}
+
+func (s *Server) remember(now time.Time, key string) {
+	if key == "" {
+		return
+	}
+	if len(s.prompts) >= promptsRemembered {
+		for old, seen := range s.prompts {
+			if now.Sub(seen) >= promptKeptFor || len(s.prompts) >= promptsRemembered {
+				delete(s.prompts, old)
+			}
+		}
+	}
+	s.prompts[key] = now
+}
+
+// expect predicts the time to the first byte of a call that reads a number of
+// prompt tokens. A call that has waited longer than the model says shows that
+// the model is wrong.
+func (s *Server) expect(now time.Time, tokens int) time.Duration {
+	load := s.own.Add(s.others)
+	expected := s.model.expect(now, load.Waiting+tokens)
+	if over := load.Calls + 1 - s.slots(); s.slots() > 0 && over > 0 {
+		expected += seconds(s.model.run * float64(over) / float64(s.slots()))
+	}
+	if len(s.pending) > 0 {
+		expected = max(expected, now.Sub(s.pending[0]))
+	}
+	return expected
+}
+
+// hasMemory says whether the work fits into the server's memory.
+func (s *Server) hasMemory(capacity int, tokens int) bool {
+	if capacity == 0 {
+		return true
+	}
+	return float64(s.own.Memory+s.others.Memory+tokens) <= memoryUse*float64(capacity)
+}
+
+func (s *Server) takes(now time.Time, work *Work) bool {
+	return !s.vm.Leaving && s.health.takes(now, s.own.Calls) && !slices.Contains(work.Avoid, s.vm.Name)
+}
+
+// rank orders servers for a shared part: the highest is its home.
+func (s *Server) rank(key string) uint64 {
+	return xxhash.Sum64String(key + "\x00" + string(s.vm.Name))
+}
+
+func (s *Server) forget(sent time.Time) {
+	if at := slices.Index(s.pending, sent); at >= 0 {
+		s.pending = slices.Delete(s.pending, at, at+1)
+	}
+}
--- a/internal/core/outcome/reason.go
+++ b/internal/core/outcome/reason.go
@@ -28,6 +28,8 @@
 	ReasonServerUnreachable      Reason = "backend-server-unreachable"
 	ReasonServerOverloaded       Reason = "backend-server-overloaded"
 	ReasonServerLeaving          Reason = "backend-server-leaving"
+	ReasonServerFailed           Reason = "backend-server-failed"
+	ReasonFairShareExceeded      Reason = "fair-share-exceeded"
 	ReasonConnectionBroken       Reason = "connection-broken"
 	ReasonConnectionSilent       Reason = "connection-silent"
 	ReasonAnswerMismatch         Reason = "answer-mismatch"
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -2,13 +2,21 @@
 
 import "time"
 
+// Policy is how many retries the recent first tries of a service allow.
+type Policy struct {
+	// Part is the most retries as a part of the first tries.
+	Part float64
+	// Floor is the number of retries that are always allowed, so that a service
+	// with few calls has some.
+	Floor int
+}
+
+// DefaultPolicy returns the policy of daemons that are told of no other.
+func DefaultPolicy() Policy {
+	return Policy{Part: 0.1, Floor: 3}
+}
+
 const (
-	// BudgetPart is the most retries of a service as a part of its recent
-	// first tries.
-	BudgetPart = 0.1
-	// BudgetFloor is the number of retries that are always allowed in the
-	// recent time, so that a service with few calls has some.
-	BudgetFloor = 3
 	// budgetBuckets times budgetBucket is the recent time.
 	budgetBuckets = 10
 	budgetBucket  = time.Second
@@ -32,11 +40,10 @@
 	b.at(now).first++
 }
 
-// Spend counts a retry if the budget allows it, and reports whether it did.
-func (b *Budget) Spend(now time.Time) bool {
+// Spend counts a retry if the policy allows it, and reports whether it did.
+func (b *Budget) Spend(now time.Time, policy Policy) bool {
 	first, retries := b.recent(now)
-	allowed := max(BudgetFloor, int(BudgetPart*float64(first)))
-	if retries >= allowed {
+	if retries >= max(policy.Floor, int(policy.Part*float64(first))) {
 		return false
 	}
 	b.at(now).retries++
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -27,8 +27,13 @@
 	Handed bool
 	// Begun says that the caller may have had a byte of the answer.
 	Begun bool
+	// Resumable says that what the caller has of the answer can be continued.
+	Resumable bool
 	// Repeatable says that a second run does no harm.
 	Repeatable bool
+	// MaxSent is the most times that the call may be sent; zero stands for the
+	// constant of that name.
+	MaxSent int
 	// Tries counts the call's tries so far, Sent those of them that sent it.
 	Tries int
 	Sent  int
@@ -55,6 +60,7 @@
 	outcome.ReasonServerUnreachable: true,
 	outcome.ReasonServerOverloaded:  true,
 	outcome.ReasonServerLeaving:     true,
+	outcome.ReasonServerFailed:      true,
 	outcome.ReasonConnectionBroken:  true,
 	outcome.ReasonConnectionSilent:  true,
 	outcome.ReasonAnswerMismatch:    true,
@@ -64,18 +70,28 @@
 // Decide returns what follows a try. A call that is not repeatable is sent at
 // most once.
 func Decide(try Try) Verdict {
-	if !retryable[try.Reason] || try.Begun || try.Left <= 0 || try.Tries >= MaxTries {
+	if !retryable[try.Reason] || try.Left <= 0 || try.Tries >= MaxTries {
+		return Stop
+	}
+	if try.Begun && !try.Resumable {
 		return Stop
 	}
 	if !try.Handed && try.End == outcome.NotRun {
 		return AgainFree
 	}
-	if !try.Repeatable || try.Sent >= MaxSent {
+	if !try.Repeatable || try.Sent >= try.maxSent() {
 		return Stop
 	}
 	return Again
 }
 
+func (t *Try) maxSent() int {
+	if t.MaxSent > 0 {
+		return t.MaxSent
+	}
+	return MaxSent
+}
+
 // Merge returns the end of a call from the ends of two of its tries.
 func Merge(a, b outcome.End) outcome.End {
 	switch {
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -80,12 +80,13 @@
 			calls++
 			budget.First(now)
 			for range MaxSent - 1 {
-				if budget.Spend(now) {
+				if budget.Spend(now, DefaultPolicy()) {
 					retries++
 				}
 			}
 		}
-		return float64(retries) <= BudgetPart*float64(calls)+BudgetFloor
+		policy := DefaultPolicy()
+		return float64(retries) <= policy.Part*float64(calls)+float64(policy.Floor)
 	}, gen.IntRange(4, 200)))
 	p.TestingRun(t)
 }
@@ -93,10 +94,10 @@
 func TestBudgetForgets(t *testing.T) {
 	var budget Budget
 	now := time.Unix(1000, 0)
-	for budget.Spend(now) {
+	for budget.Spend(now, DefaultPolicy()) {
 		continue
 	}
-	if !budget.Spend(now.Add(budgetBuckets * budgetBucket)) {
+	if !budget.Spend(now.Add(budgetBuckets*budgetBucket), DefaultPolicy()) {
 		t.Error("old retries still count")
 	}
 }
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -38,6 +38,64 @@
 	Query  string
 	Header Header
 	Body   []byte
+	// Host is the host that the caller named; empty when it does not matter.
+	Host string
+	// FixedID says that every try carries the call's own id.
+	FixedID bool
+	// MaxServers is the most backend servers that the call may be sent to; zero
+	// for the retry package's own limit.
+	MaxServers int
+	// Resumable says that a broken stream may go on at another backend server.
+	Resumable bool
+	// LastEvent is the id of the last event that the caller has, zero for none.
+	LastEvent int
+	// PauseWithin is the target for the pauses between events; zero for none.
+	PauseWithin time.Duration
+	// Prompt is what is known of the work for a model engine; nil for a plain
+	// service.
+	Prompt *Prompt
+	// PromptHolder is the address of another backend server that probably keeps
+	// the shared parts of the prompt; empty when there is none.
+	PromptHolder string
+	// Tried are the backend servers on which a try of the call failed.
+	Tried []VMName
+}
+
+// Prompt describes the work of a call for a model engine.
+type Prompt struct {
+	Model string
+	// Parts are the parts of the prompt in order. All but the last one may be
+	// shared with other calls.
+	Parts []PromptPart
+	// InputTokens is the length of the whole prompt.
+	InputTokens int
+	// OutputTokens is the number of tokens that will be generated: the caller's
+	// estimate, or the most that it wants.
+	OutputTokens int
+}
+
+// PromptPart is one part of a prompt.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// SharedKey identifies the shared part of the prompt: the last part that other
+// calls may begin with. It is empty when nothing is shared.
+func (p *Prompt) SharedKey() string {
+	if len(p.Parts) < 2 {
+		return ""
+	}
+	return p.Parts[len(p.Parts)-2].ID
+}
+
+// OwnTokens is the number of prompt tokens that no other call shares.
+func (p *Prompt) OwnTokens() int {
+	own := p.InputTokens
+	for i := 0; i+1 < len(p.Parts); i++ {
+		own -= p.Parts[i].Tokens
+	}
+	return max(own, 0)
 }
 
 // AnswerSink takes the answer of one call. It is used by one goroutine.
@@ -92,6 +150,9 @@
 	// Contenders counts the other workspaces that waited for the service at
 	// this daemon when the call came.
 	Contenders int
+	// PromptHolder is the address of another backend server that probably keeps
+	// the shared parts of the call's prompt; empty when there is none.
+	PromptHolder string
 }
 
 // RunReport says how one run on a backend server went.
@@ -121,6 +182,8 @@
 	ServerFaultOverloaded
 	// ServerFaultLeaving is a server that answered that it is leaving.
 	ServerFaultLeaving
+	// ServerFaultFailed is a server that answered with an error of its own.
+	ServerFaultFailed
 )
 
 // Backend runs a call on a backend server, once.
@@ -144,6 +207,18 @@
 	Detail string
 	// RetryAfter is the server's own word, zero when it gave none.
 	RetryAfter time.Duration
+	// LastEvent is the id of the last event that the caller got of a stream.
+	LastEvent int
+	// Failure is the server's own answer of failure. The caller gets it when no
+	// other try follows.
+	Failure *WholeAnswer
+}
+
+// WholeAnswer is an answer that is held in memory.
+type WholeAnswer struct {
+	Status int
+	Header Header
+	Body   []byte
 }
 
 // LoadReport is what a backend server says of its load, late.
--- a/internal/ports/configuration.go
+++ b/internal/ports/configuration.go
@@ -10,6 +10,26 @@
 // Configuration is one revision of the configuration document, checked.
 type Configuration = configuration.Revision
 
+// RevisionFeed gives the accepted revisions of the configuration.
+type RevisionFeed interface {
+	// Newest returns the newest accepted revision. It fails with
+	// *ObjectNotFoundError, *PlatformUnavailableError or
+	// *configuration.CorruptChainError.
+	Newest(ctx context.Context) (RevisionUpdate, error)
+	// Await waits until a version above seen exists, or until the platform ends
+	// the wait: the update then has the version seen and no revision. It fails
+	// as Newest does.
+	Await(ctx context.Context, seen ObjectVersion) (RevisionUpdate, error)
+}
+
+// RevisionUpdate is what a feed tells.
+type RevisionUpdate struct {
+	// Version numbers what the feed has read; a corrupt value has one too.
+	Version ObjectVersion
+	// Revision is nil when there is nothing new.
+	Revision *Configuration
+}
+
 // ConfigurationEditor changes the configuration at the platform.
 type ConfigurationEditor interface {
 	// Apply accepts a document as the next revision. An edit whose apply ID was
--- a/internal/ports/peer.go
+++ b/internal/ports/peer.go
@@ -13,6 +13,7 @@
 	KindGrants              MessageKind = 11
 	KindHeldSlots           MessageKind = 13
 	KindSums                MessageKind = 15
+	KindLoad                MessageKind = 16
 	KindConfigurationDigest MessageKind = 20
 	KindConfigurationPush   MessageKind = 21
 	KindConfigurationPull   MessageKind = 22
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -9,6 +9,7 @@
 
 	"hawthornstream/internal/core/configuration"
 	"hawthornstream/internal/core/fieldcheck"
+	"hawthornstream/internal/core/retry"
 )
 
 // InvalidSettingsError lists all faults of the settings.
@@ -57,16 +58,30 @@
 	s := Default()
 	faults := fieldcheck.Decode(data, s)
 	faults = fieldcheck.Merge(faults, fieldcheck.Validate(s))
+	faults = fieldcheck.Merge(faults, checkInterface(s))
 	if len(faults) > 0 {
 		return nil, &InvalidSettingsError{Faults: faults}
 	}
 	return s, nil
 }
 
+// checkInterface checks what only one of the platform's interfaces needs.
+func checkInterface(s *Settings) []fieldcheck.Fault {
+	const required = "a value (required)"
+	var faults []fieldcheck.Fault
+	if s.Platform.Interface == InterfaceOwn && len(s.Operators.KeyDigests) == 0 {
+		faults = append(faults, fieldcheck.NewFault("operators.keyDigests", "null", required))
+	}
+	if s.Platform.Interface == InterfaceObjects && s.Listen.Readiness == "" {
+		faults = append(faults, fieldcheck.NewFault("listen.readiness", `""`, required))
+	}
+	return faults
+}
+
 // Default returns the settings with every default and no required field.
 func Default() *Settings {
 	return &Settings{
-		Platform: Platform{VMListPeriod: configuration.Duration(time.Second)},
+		Platform: Platform{Interface: InterfaceOwn, VMListPeriod: configuration.Duration(time.Second)},
 		Limits: Limits{
 			Header:               16 * kibibyte,
 			Body:                 1 * mebibyte,
@@ -80,6 +95,7 @@
 			Within:   configuration.Duration(15 * time.Minute),
 			Announce: configuration.Duration(2 * time.Second),
 		},
+		Retries:      Retries{Part: retry.DefaultPolicy().Part},
 		Log:          Log{Level: "info"},
 		Experimental: Experimental{ExchangePeriod: configuration.Duration(time.Second)},
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,8 @@
 	Limits Limits `json:"limits"`
 	// Stop bounds a planned stop.
 	Stop Stop `json:"stop"`
+	// Retries bound what the fleet sends more than once. Optional.
+	Retries Retries `json:"retries,omitzero"`
 	// Log says what is logged.
 	Log Log `json:"log"`
 	// TLS names the files for encrypted connections. Optional.
@@ -50,24 +52,46 @@
 	Operators string `json:"operators" validate:"ipport"`
 	// Peers is the address for other daemons. Required.
 	Peers string `json:"peers" validate:"ipport"`
+	// Readiness is the address on which the platform's balancer asks whether the
+	// daemon takes calls. Required by the interface "objects", else unused.
+	Readiness string `json:"readiness,omitempty" validate:"omitempty,ipport"`
 }
 
+// The interfaces of a platform.
+const (
+	// InterfaceOwn is the daemon's own interface towards callers, operators,
+	// backend servers and the platform.
+	InterfaceOwn = "own"
+	// InterfaceObjects is the interface of package platform: operators, backend
+	// servers and daemons write objects to the platform's store.
+	InterfaceObjects = "objects"
+)
+
 // Platform is where the platform's services are.
 type Platform struct {
+	// Interface says how callers, backend servers and the platform speak: "own"
+	// or "objects". Default: "own".
+	Interface string `json:"interface,omitempty" validate:"oneof=own objects"`
 	// ObjectAPI is the base URL of the object API. Required.
 	ObjectAPI string `json:"objectAPI" validate:"http_url"`
-	// VMList is the URL of the VM list. Required.
-	VMList string `json:"vmList" validate:"http_url"`
+	// VMList is the URL of the VM list. Required by the interface "own", else
+	// unused.
+	VMList string `json:"vmList,omitempty" validate:"required_if=Interface own,omitempty,http_url"`
 	// VMListPeriod is the time between two reads of the VM list. Default: 1s;
 	// 100ms to 1m.
 	VMListPeriod configuration.Duration `json:"vmListPeriod,omitempty" validate:"between=100ms 1m"`
+	// Regions are the regions of all failure domains. Default: none; without it
+	// the interface "objects" finds no backend servers.
+	Regions map[ports.FailureDomain]ports.Region `json:"regions,omitempty" validate:"dive,keys,name,endkeys,name"`
 }
 
 // Operators are the operators' access rights.
 type Operators struct {
 	// KeyDigests are the SHA-256 digests, in lower-case hexadecimal, of the
-	// operators' bearer keys, by the operator's name. Required.
-	KeyDigests map[string]string `json:"keyDigests" validate:"required,min=1,dive,keys,name,endkeys,keydigest"`
+	// operators' bearer keys, by the operator's name. Required by the interface
+	// "own"; with "objects" a daemon may have none and serves health checks,
+	// status and metrics only.
+	KeyDigests map[string]string `json:"keyDigests,omitempty" validate:"dive,keys,name,endkeys,keydigest"`
 }
 
 // Limits bound what callers may use up.
@@ -91,6 +115,19 @@
 	// ReceiveWithin is the time in which a request must arrive whole. Default:
 	// 10s; 100ms to 10m.
 	ReceiveWithin configuration.Duration `json:"receiveWithin,omitempty" validate:"between=100ms 10m"`
+	// Memory is what the process may use; the collector works harder well below
+	// it. Default: no limit; 16MiB to 1GiB.
+	Memory Size `json:"memory,omitempty" validate:"omitempty,between=16MiB 1GiB"`
+}
+
+// Retries bound what the fleet sends to a service more than once, over ten
+// seconds.
+type Retries struct {
+	// Part is the most retries as a part of the calls. Default: 0.1; 0 to 10.
+	Part float64 `json:"part,omitempty" validate:"between=0 10"`
+	// FleetFloor is the number of retries that all daemons together may always
+	// make. Default: 0, a floor for each daemon; 0 to 1000000.
+	FleetFloor int `json:"fleetFloor,omitempty" validate:"between=0 1000000"`
 }
 
 // Stop bounds a planned stop.
@@ -98,6 +135,9 @@
 	// Within is the time after which a planned stop gives up on calls in
 	// progress. Default: 15m; 1s to 24h.
 	Within configuration.Duration `json:"within,omitempty" validate:"between=1s 24h"`
+	// KilledAfter is the time after the signal at which the platform kills the
+	// process; Within ends before it. Default: never; 1s to 24h.
+	KilledAfter configuration.Duration `json:"killedAfter,omitempty" validate:"omitempty,between=1s 24h"`
 	// Announce is the time between not being ready and refusing new
 	// connections, in which the balancer notices. Default: 2s; 0s to 1m.
 	Announce configuration.Duration `json:"announce,omitempty" validate:"between=0s 1m"`
