Make refusals cheap and connections few

Ruled out: the streams themselves (59 us an event, nearly all system calls).

Change: no wait for room above the fair share, lines of the log by a limit for each event and written 10 times a second without blocking, counters looked up once, prompt homes without allocation, connections by a daemon's part of the server's limit, dial within 400 ms; shares count whole prompts, as the operators' figure of the capacity does; loads of all servers go to all daemons.

--- a/cmd/hawthornstreamd/main.go
+++ b/cmd/hawthornstreamd/main.go
@@ -16,6 +16,7 @@
 	"os/signal"
 	"reflect"
 	"syscall"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -46,6 +47,9 @@
 	}
 }
 
+// logCloseWithin bounds the wait for the last lines of the log to be written.
+const logCloseWithin = 200 * time.Millisecond
+
 // signalBuffer holds the signal that begins a stop and the one that ends it.
 const signalBuffer = 2
 
@@ -74,7 +78,9 @@
 }
 
 func serve(s *settings.Settings, path string, stdout io.Writer) int {
-	logger := logging.New(stdout, s.Log.Level)
+	lines := logging.NewLines(stdout)
+	defer lines.Close(logCloseWithin)
+	logger := logging.New(lines, s.Log.Level)
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	hangups := make(chan os.Signal, signalBuffer)
--- a/internal/adapters/backendhttp/client.go
+++ b/internal/adapters/backendhttp/client.go
@@ -15,8 +15,10 @@
 	maxIdlePerServer = 32
 	// idleFor is how long an idle connection is kept.
 	idleFor = 15 * time.Second
-	// dialWithin is the time in which a connection must be established.
-	dialWithin = 2 * time.Second
+	// dialWithin is the time in which a connection must be established: a few
+	// round trips between regions. A lost first packet is sent again only after
+	// a second, and another server answers sooner.
+	dialWithin = 400 * time.Millisecond
 	// unacknowledgedFor is how long sent bytes may stay unacknowledged.
 	unacknowledgedFor = 10 * time.Second
 	// maxAnswerHeader is the most bytes of an answer's header.
@@ -35,8 +37,10 @@
 type Client struct {
 	transport *http.Transport
 
-	mu     sync.Mutex
-	idle   map[string][]*clientConn
+	mu   sync.Mutex
+	idle map[string][]*clientConn
+	// open counts the connections to each address, idle ones included.
+	open   map[string]int
 	closed bool
 	// tasks are the cancellations that are under way.
 	tasks sync.WaitGroup
@@ -49,6 +53,8 @@
 	address string
 	reused  bool
 	idleAt  time.Time
+	// uncounted says that the client's count no longer has the connection.
+	uncounted bool
 }
 
 type connKey struct{}
@@ -80,7 +86,7 @@
 			return tracked, nil
 		},
 	}
-	return &Client{transport: transport, idle: make(map[string][]*clientConn)}
+	return &Client{transport: transport, idle: make(map[string][]*clientConn), open: make(map[string]int)}
 }
 
 // Close closes the idle connections and waits for the cancellations under way.
@@ -91,7 +97,7 @@
 	c.idle = make(map[string][]*clientConn)
 	c.mu.Unlock()
 	for _, conns := range idle {
-		closeAll(conns)
+		c.closeAll(conns)
 	}
 	c.tasks.Wait()
 }
@@ -110,7 +116,7 @@
 		c.idle[address] = kept
 	}
 	c.mu.Unlock()
-	closeAll(old)
+	c.closeAll(old)
 }
 
 func splitUsable(conns []*clientConn, now time.Time) (kept, dropped []*clientConn) {
@@ -124,9 +130,28 @@
 	return kept, dropped
 }
 
-func closeAll(conns []*clientConn) {
+func (c *Client) closeAll(conns []*clientConn) {
 	for _, conn := range conns {
-		_ = conn.http.Close()
+		c.close(conn)
+	}
+}
+
+// close closes a connection and takes it out of the count.
+func (c *Client) close(conn *clientConn) {
+	_ = conn.http.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.uncount(conn)
+}
+
+// uncount takes a connection out of the count, once. The caller holds the mutex.
+func (c *Client) uncount(conn *clientConn) {
+	if conn.uncounted {
+		return
+	}
+	conn.uncounted = true
+	if c.open[conn.address]--; c.open[conn.address] <= 0 {
+		delete(c.open, conn.address)
 	}
 }
 
@@ -135,14 +160,41 @@
 }
 
 // connection returns an idle connection, or a new one when there is none or a
-// fresh one is wanted.
-func (c *Client) connection(ctx context.Context, address string, fresh bool) (*clientConn, error) {
+// fresh one is wanted. A new one takes the place of an idle one when the limit is
+// reached. It fails with *ConnectError.
+func (c *Client) connection(ctx context.Context, request *Request, fresh bool) (*clientConn, error) {
 	if !fresh {
-		if conn := c.takeIdle(address, time.Now()); conn != nil {
+		if conn := c.takeIdle(request.Address, time.Now()); conn != nil {
 			return conn, nil
 		}
 	}
-	return c.dial(ctx, address)
+	if !c.reserve(request.Address, request.MaxConnections) {
+		return nil, &ConnectError{Address: request.Address, Cause: &ConnectionLimitError{Limit: request.MaxConnections}}
+	}
+	return c.dial(ctx, request.Address)
+}
+
+// reserve counts one more connection to an address, in place of the oldest idle
+// one when the limit is reached, and reports false when none is idle.
+func (c *Client) reserve(address string, limit int) bool {
+	c.mu.Lock()
+	var oldest *clientConn
+	if limit > 0 && c.open[address] >= limit {
+		conns := c.idle[address]
+		if len(conns) == 0 {
+			c.mu.Unlock()
+			return false
+		}
+		oldest = conns[0]
+		c.idle[address] = conns[1:]
+		c.uncount(oldest)
+	}
+	c.open[address]++
+	c.mu.Unlock()
+	if oldest != nil {
+		_ = oldest.http.Close()
+	}
+	return true
 }
 
 func (c *Client) takeIdle(address string, now time.Time) *clientConn {
@@ -159,16 +211,21 @@
 			conn.reused = true
 			return conn
 		}
+		c.uncount(conn)
 		_ = conn.http.Close()
 	}
 	delete(c.idle, address)
 	return nil
 }
 
+// dial opens a connection that was reserved.
 func (c *Client) dial(ctx context.Context, address string) (*clientConn, error) {
 	conn := &clientConn{address: address}
 	httpConn, err := c.transport.NewClientConn(context.WithValue(ctx, connKey{}, conn), "http", address)
 	if err != nil {
+		c.mu.Lock()
+		c.uncount(conn)
+		c.mu.Unlock()
 		return nil, &ConnectError{Address: address, Cause: err}
 	}
 	conn.http = httpConn
@@ -180,7 +237,7 @@
 	now := time.Now()
 	conn.idleAt = now
 	if !conn.usable(now) || !c.keep(conn) {
-		_ = conn.http.Close()
+		c.close(conn)
 	}
 }
 
--- a/internal/adapters/backendhttp/errors.go
+++ b/internal/adapters/backendhttp/errors.go
@@ -18,6 +18,17 @@
 	return e.Cause
 }
 
+// ConnectionLimitError says that the client has as many connections to a server
+// as it may, and all are in use.
+type ConnectionLimitError struct {
+	Limit int
+}
+
+// Error implements error.
+func (e *ConnectionLimitError) Error() string {
+	return fmt.Sprintf("all %d connections are in use", e.Limit)
+}
+
 // ExchangeError says that a request got no whole answer.
 type ExchangeError struct {
 	Address string
--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -22,6 +22,9 @@
 	Target string
 	Header http.Header
 	Body   []byte
+	// MaxConnections is the most connections that this client keeps to the
+	// address; zero for no limit.
+	MaxConnections int
 	// Fresh asks for a new connection: one that was idle may have died without
 	// a sign.
 	Fresh bool
@@ -49,7 +52,7 @@
 func (c *Client) Do(ctx context.Context, request *Request) (*Exchange, error) {
 	fresh := request.Fresh
 	for {
-		conn, err := c.connection(ctx, request.Address, fresh)
+		conn, err := c.connection(ctx, request, fresh)
 		if err != nil {
 			return nil, err
 		}
@@ -68,7 +71,7 @@
 func (c *Client) send(ctx context.Context, conn *clientConn, request *Request) (*Exchange, *ExchangeError) {
 	httpRequest, err := newHTTPRequest(ctx, request)
 	if err != nil {
-		_ = conn.http.Close()
+		c.close(conn)
 		return nil, &ExchangeError{Address: request.Address, Cause: err}
 	}
 	conn.tracked.begin(time.Now())
@@ -161,7 +164,7 @@
 	e.watch.stop()
 	_ = e.Response.Body.Close()
 	if e.conn.http.Available() == 0 {
-		_ = e.conn.http.Close()
+		e.client.close(e.conn)
 		return
 	}
 	e.client.giveBack(e.conn)
@@ -174,7 +177,7 @@
 	}
 	e.ended = true
 	e.watch.stop()
-	_ = e.conn.http.Close()
+	e.client.close(e.conn)
 	if e.Response != nil {
 		_ = e.Response.Body.Close()
 	}
--- a/internal/adapters/backendhttp/result.go
+++ b/internal/adapters/backendhttp/result.go
@@ -48,12 +48,18 @@
 		reason, detail := GaveUp(ctx)
 		return ports.RunResult{End: outcome.NotRun, Reason: reason, Detail: detail}
 	}
-	return ports.RunResult{
+	result := ports.RunResult{
 		End:    outcome.NotRun,
 		Reason: outcome.ReasonServerUnreachable,
 		Detail: err.Error(),
 		Report: ports.RunReport{Fault: ports.ServerFaultUnreachable},
 	}
+	var limit *ConnectionLimitError
+	if errors.As(err, &limit) {
+		result.Reason = outcome.ReasonServerOverloaded
+		result.Report.Fault = ports.ServerFaultOverloaded
+	}
+	return result
 }
 
 // GaveUp tells an elapsed deadline from a caller that hung up.
--- a/internal/adapters/callerhttp/body.go
+++ b/internal/adapters/callerhttp/body.go
@@ -32,7 +32,7 @@
 	if err := controller.SetReadDeadline(deadline); err != nil {
 		return nil, notRun(outcome.ReasonInternal, "the read deadline can't be set")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.Body.Bytes()))
+	body, err := readAll(http.MaxBytesReader(w, r.Body, s.limits.Body.Bytes()), r.ContentLength)
 	if err != nil {
 		return nil, s.bodyRefusal(err)
 	}
@@ -42,6 +42,16 @@
 	return body, nil
 }
 
+// readAll reads to the end; a known length spares growing the buffer.
+func readAll(from io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(from)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(from, body)
+	return body, err
+}
+
 func (s *Server) bodyRefusal(err error) *outcome.Refusal {
 	var tooLarge *http.MaxBytesError
 	if eris.As(err, &tooLarge) {
--- a/internal/adapters/callerhttp/routes.go
+++ b/internal/adapters/callerhttp/routes.go
@@ -128,19 +128,21 @@
 
 func (s *Server) refuse(w http.ResponseWriter, in *Intake, refusal *outcome.Refusal) {
 	s.count(refusal)
+	if s.lines.Allow("request-refused", string(refusal.Reason)) {
+		s.logRefusal(in, refusal)
+	}
+	s.dialect.Refuse(w, in.ID, refusal)
+}
+
+func (s *Server) logRefusal(in *Intake, refusal *outcome.Refusal) {
 	s.logger.Info().
 		Str("event", "request-refused").
 		Str("request", string(in.ID)).
 		Str("workspace", string(in.Workspace)).
 		Str("reason", string(refusal.Reason)).
 		Msg("")
-	s.dialect.Refuse(w, in.ID, refusal)
 }
 
 func (s *Server) count(refusal *outcome.Refusal) {
-	tags := map[string]string{
-		"reason": string(refusal.Reason),
-		"run":    string(refusal.End),
-	}
-	s.scope.Tagged(tags).Counter("refusals").Inc(1)
+	s.refusals.Inc(string(refusal.Reason), string(refusal.End))
 }
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -14,6 +14,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
+	"hawthornstream/internal/adapters/logging"
+	"hawthornstream/internal/adapters/metrics"
 	"hawthornstream/internal/adapters/tlsfiles"
 	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/ports"
@@ -42,8 +44,9 @@
 	configuration ports.ConfigurationSource
 	executor      ports.Executor
 	dialect       Dialect
-	scope         tally.Scope
+	refusals      *metrics.Counters
 	logger        *log.Logger
+	lines         *logging.Limiter
 	connections   *connectionGauge
 	open          *openCalls
 	announced     atomic.Bool
@@ -68,8 +71,9 @@
 		configuration: configuration,
 		executor:      executor,
 		dialect:       dialect,
-		scope:         scope,
+		refusals:      metrics.NewCounters(scope, "refusals", "reason", "run"),
 		logger:        logger,
+		lines:         logging.NewLimiter(logger),
 		open:          newOpenCalls(),
 		connections:   newConnectionGauge(s.Limits.Connections, scope.Gauge("connections")),
 	}
--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -49,6 +49,12 @@
 		m.mu.Unlock()
 		return w.result()
 	}
+	if m.overuse(now, w) > 1 {
+		// Those within their share come first to whatever room there will be.
+		refusal := m.noRoom(now, w)
+		m.mu.Unlock()
+		return nil, refusal
+	}
 	m.waiters = append(m.waiters, w)
 	m.mu.Unlock()
 	timer := time.NewTimer(min(core.Patience(&w.work), call.Deadline.Sub(now)))
@@ -82,7 +88,7 @@
 		return true
 	}
 	choice, ok := pool.Choose(now, &w.work)
-	if !ok || choice.Expected > m.allowance(now, w) {
+	if !ok || !m.admits(now, choice, w) {
 		return false
 	}
 	w.slot = m.take(now, pool, choice, w)
@@ -90,18 +96,20 @@
 	return true
 }
 
-// allowance returns the longest predicted time to the first byte with which the
-// call may be sent. What was begun is ended: a call that was sent before is
-// bound by its deadline alone.
-func (m *Manager) allowance(now time.Time, w *waiter) time.Duration {
+// admits says whether the call may be sent. What was begun is ended: a call that
+// was sent before is not refused for its target.
+func (m *Manager) admits(now time.Time, choice core.Choice, w *waiter) bool {
 	if len(w.call.Tried) > 0 {
-		return w.call.Deadline.Sub(now)
+		return true
 	}
-	overuse := 0.0
-	if w.work.Engine {
-		overuse = m.shares.Overuse(now, w.call.Workspace, m.document.Limits.TokensPerSecond, m.shareTarget)
+	return core.Admits(choice, &w.work, now.Sub(w.call.Arrived), m.overuse(now, w))
+}
+
+func (m *Manager) overuse(now time.Time, w *waiter) float64 {
+	if !w.work.Engine {
+		return 0
 	}
-	return core.Allowance(&w.work, now.Sub(w.call.Arrived), overuse)
+	return m.shares.Overuse(now, w.call.Workspace, m.document.Limits.TokensPerSecond, m.shareTarget)
 }
 
 func (m *Manager) take(now time.Time, pool *core.Pool, choice core.Choice, w *waiter) *slot {
@@ -120,12 +128,17 @@
 	return s
 }
 
+// settleEvery is the least time between two looks at the waiting calls: at the
+// worst load there is news more often than room.
+const settleEvery = 4 * time.Millisecond
+
 // settleWaiters gives the waiting calls what room there is, the most urgent
 // first. The caller holds the mutex.
 func (m *Manager) settleWaiters(now time.Time) {
-	if len(m.waiters) == 0 {
+	if len(m.waiters) == 0 || now.Sub(m.settled) < settleEvery {
 		return
 	}
+	m.settled = now
 	slices.SortStableFunc(m.waiters, func(a, b *waiter) int {
 		return a.call.FirstTokenBy.Compare(b.call.FirstTokenBy)
 	})
@@ -172,7 +185,7 @@
 		return noServerRefusal("no backend server takes calls now")
 	}
 	reason, detail := outcome.ReasonQueueFull, "no backend server could answer in time"
-	if choice.Expected <= core.Allowance(&w.work, now.Sub(w.call.Arrived), 0) {
+	if core.Admits(choice, &w.work, now.Sub(w.call.Arrived), 0) {
 		reason, detail = outcome.ReasonFairShareExceeded, "the workspace has more than its fair share"
 	}
 	return &outcome.Refusal{
--- a/internal/app/dispatch/exchange.go
+++ b/internal/app/dispatch/exchange.go
@@ -24,8 +24,8 @@
 	return loadPeriod + time.Duration(len(m.directory.Daemons()))*loadPeriodEach
 }
 
-// tellPeers sends this daemon's load on the backend servers of a failure domain
-// to the daemons there, and with rates also to the other daemons.
+// tellPeers sends this daemon's load to the daemons of its failure domain, and
+// with rates also to the other daemons.
 func (m *Manager) tellPeers(now time.Time, withRates bool) {
 	self := m.directory.Self()
 	daemons := m.directory.Daemons()
@@ -35,29 +35,25 @@
 	if withRates {
 		message.Rates = m.ownRates(now)
 	}
-	loads := m.ownLoads()
+	message.Servers = m.ownLoads()
 	m.mu.Unlock()
 	for _, daemon := range daemons {
 		if daemon.Name == self.Name || !withRates && daemon.Domain != self.Domain {
 			continue
 		}
-		sent := message
-		sent.Servers = loads[daemon.Domain]
-		m.transport.Send(daemon.Name, &sent)
+		m.transport.Send(daemon.Name, &message)
 	}
 }
 
-// ownLoads returns the loads by the failure domain of their servers.
-func (m *Manager) ownLoads() map[ports.FailureDomain][]ports.ServerLoad {
-	loads := make(map[ports.FailureDomain][]ports.ServerLoad)
+func (m *Manager) ownLoads() []ports.ServerLoad {
+	var loads []ports.ServerLoad
 	for service, pool := range m.pools {
 		for _, server := range pool.Servers() {
 			own := server.Own()
 			if own.IsZero() {
 				continue
 			}
-			domain := server.VM().Domain
-			loads[domain] = append(loads[domain], ports.ServerLoad{
+			loads = append(loads, ports.ServerLoad{
 				Service: service, Server: server.VM().Name,
 				Calls: own.Calls, Waiting: own.Waiting, Memory: own.Memory,
 			})
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -63,6 +63,7 @@
 	pools    map[ports.ServiceName]*core.Pool
 	shares   *core.Shares
 	waiters  []*waiter
+	settled  time.Time
 	peers    map[ports.DaemonID]*peerLoad
 	sequence uint64
 }
--- a/internal/app/execution/manager.go
+++ b/internal/app/execution/manager.go
@@ -9,6 +9,8 @@
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
+	"hawthornstream/internal/adapters/logging"
+	"hawthornstream/internal/adapters/metrics"
 	"hawthornstream/internal/app/idempotency"
 	"hawthornstream/internal/core/configuration"
 	core "hawthornstream/internal/core/idempotency"
@@ -33,6 +35,9 @@
 	budgets  *budgets
 	// maxAnswer is the largest answer that is held for a retry with its key.
 	maxAnswer int64
+	lines     *logging.Limiter
+	calls     *metrics.Counters
+	refusals  *metrics.Counters
 	*history
 }
 
@@ -61,9 +66,13 @@
 
 // NewManager returns a manager without calls.
 func NewManager(p Params) *Manager {
+	scope := p.Scope.SubScope("execution")
 	return &Manager{
 		log:       p.Logger,
-		scope:     p.Scope.SubScope("execution"),
+		scope:     scope,
+		lines:     logging.NewLimiter(p.Logger),
+		calls:     metrics.NewCounters(scope, "calls", "service", "run"),
+		refusals:  metrics.NewCounters(scope, "refusals", "reason", "service", "run"),
 		broker:    p.Broker,
 		backends:  p.Backends,
 		keys:      p.Keys,
@@ -117,14 +126,13 @@
 	reason := outcome.Reason("")
 	if result.Refusal != nil {
 		reason = result.Refusal.Reason
-		m.scope.Tagged(map[string]string{
-			"reason": string(reason), "service": string(call.Service), "run": string(result.End),
-		}).Counter("refusals").Inc(1)
+		m.refusals.Inc(string(reason), string(call.Service), string(result.End))
 	}
-	m.scope.Tagged(map[string]string{
-		"service": string(call.Service), "run": string(result.End),
-	}).Counter("calls").Inc(1)
+	m.calls.Inc(string(call.Service), string(result.End))
 	life.add(now, "ended", fmt.Sprintf("run=%s reason=%s", result.End, reason))
+	if !m.lines.Allow("call-ended", string(reason)) {
+		return
+	}
 	m.log.Info().Str("event", "call-ended").Str("request", string(call.ID)).
 		Str("workspace", string(call.Workspace)).Str("service", string(call.Service)).
 		Str("run", string(result.End)).Str("reason", string(reason)).
--- a/internal/app/execution/run.go
+++ b/internal/app/execution/run.go
@@ -160,10 +160,16 @@
 	}
 	r.count("retries", last.Reason)
 	r.life.add(now, "retry", fmt.Sprintf("reason=%s wait=%s", last.Reason, wait))
+	if r.manager.lines.Allow("call-retried", string(last.Reason)) {
+		r.logRetry(last)
+	}
+	return pause.For(ctx, wait)
+}
+
+func (r *run) logRetry(last ports.RunResult) {
 	r.manager.log.Info().Str("event", "call-retried").Str("request", string(r.call.ID)).
 		Str("service", string(r.call.Service)).Str("reason", string(last.Reason)).
 		Str("detail", last.Detail).Msg("")
-	return pause.For(ctx, wait)
 }
 
 func (r *run) nextWait() time.Duration {
--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -6,22 +6,26 @@
 	// targetUse is the part of the target that the prediction may fill: a call
 	// that is only just in time is often late.
 	targetUse = 0.75
-	// leastAllowance is the part of the allowance that is left to workspaces
-	// far above their share: they get what the servers have to spare.
-	leastAllowance = 0.25
+	// leastQueue is the part of the time behind others that is left to
+	// workspaces at twice their share or more: they get what is idle.
+	leastQueue = 0.1
 	// patience is the part of the target for which a call waits for room.
 	patience = 0.125
 )
 
-// Allowance is the longest predicted time to the first byte with which a call is
-// sent, when the time waited already went by. A workspace above its fair share
-// meets a shorter queue, so that the others find room in theirs.
-func Allowance(work *Work, waited time.Duration, overuse float64) time.Duration {
-	part := 1.0
-	if overuse > 1 {
-		part = max(leastAllowance, 1-(overuse-1))
+// Admits says whether a call may be sent to its best server when some time was
+// waited already: its target can be met there, and a workspace above its fair
+// share waits behind few others, so that these find room.
+func Admits(choice Choice, work *Work, waited time.Duration, overuse float64) bool {
+	allowed := time.Duration(targetUse * float64(work.Target))
+	if waited+choice.Expected > allowed {
+		return false
 	}
-	return time.Duration(targetUse*part*float64(work.Target)) - waited
+	if overuse <= 1 {
+		return true
+	}
+	part := max(leastQueue, 2-overuse)
+	return choice.Expected-choice.Alone <= time.Duration(part*float64(allowed))
 }
 
 // Patience is how long a call that finds no room waits for it. What waits longer
--- a/internal/core/dispatch/homes.go
+++ b/internal/core/dispatch/homes.go
@@ -3,15 +3,17 @@
 import (
 	"time"
 
-	"hawthornstream/internal/ports"
+	"github.com/cespare/xxhash/v2"
 )
 
 // homes are the servers that calls with one shared part go to: one in each
 // failure domain, so that links between regions are spared and each part is read
 // once in a domain at most.
 type homes struct {
-	key      string
-	byDomain map[ports.FailureDomain]*Server
+	key     string
+	keyHash uint64
+	// servers has at most one server of each failure domain.
+	servers []*Server
 }
 
 // homes ranks the servers by rendezvous hashing: a server that comes or goes
@@ -21,27 +23,43 @@
 	if h.key == "" {
 		return h
 	}
-	h.byDomain = make(map[ports.FailureDomain]*Server, 8)
+	h.keyHash = xxhash.Sum64String(h.key)
+	h.servers = p.homeBuffer[:0]
 	for _, server := range p.servers {
-		if server.vm.Leaving || server.health.trial {
+		if !server.vm.Leaving && !server.health.trial {
+			h.offer(server)
+		}
+	}
+	p.homeBuffer = h.servers
+	return h
+}
+
+func (h *homes) offer(server *Server) {
+	for i, best := range h.servers {
+		if best.vm.Domain != server.vm.Domain {
 			continue
 		}
-		best := h.byDomain[server.vm.Domain]
-		if best == nil || server.rank(h.key) > best.rank(h.key) {
-			h.byDomain[server.vm.Domain] = server
+		if server.rank(h.keyHash) > best.rank(h.keyHash) {
+			h.servers[i] = server
 		}
+		return
 	}
-	return h
+	h.servers = append(h.servers, server)
 }
 
 // of returns the home in a server's failure domain, or nil.
-func (h homes) of(server *Server) *Server {
-	return h.byDomain[server.vm.Domain]
+func (h *homes) of(server *Server) *Server {
+	for _, home := range h.servers {
+		if home.vm.Domain == server.vm.Domain {
+			return home
+		}
+	}
+	return nil
 }
 
 // holder returns another server that probably keeps the shared part when the
-// given one probably does not: the home beside it, or the nearest other home.
-func (h homes) holder(now time.Time, server *Server, work *Work) *Server {
+// given one probably does not: the home beside it, or the best of the others.
+func (h *homes) holder(now time.Time, server *Server) *Server {
 	if h.key == "" || server.keeps(now, h.key) {
 		return nil
 	}
@@ -49,8 +67,8 @@
 		return home
 	}
 	var best *Server
-	for _, home := range h.byDomain {
-		if home != server && (best == nil || home.rank(h.key) > best.rank(h.key)) {
+	for _, home := range h.servers {
+		if home != server && (best == nil || home.rank(h.keyHash) > best.rank(h.keyHash)) {
 			best = home
 		}
 	}
--- a/internal/core/dispatch/load.go
+++ b/internal/core/dispatch/load.go
@@ -40,9 +40,10 @@
 // as the configuration's tokensPerSecond counts them.
 const generatedWeight = 2
 
-// Tokens is the work in prompt tokens that no other call shares.
+// Tokens is the work as the configuration's tokensPerSecond counts it: the whole
+// prompt, cached or not, and what is generated.
 func (w *Work) Tokens() float64 {
-	return float64(w.OwnTokens + generatedWeight*w.OutputTokens)
+	return float64(w.SharedTokens + w.OwnTokens + generatedWeight*w.OutputTokens)
 }
 
 // Load is what runs and waits on one backend server.
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hawthornstream/internal/ports"
 )
 
@@ -30,6 +32,8 @@
 	self    ports.VM
 	memory  int
 	servers []*Server
+	// homeBuffer is reused by homes.
+	homeBuffer []*Server
 }
 
 // NewPool returns a pool without servers as the daemon of the given VM sees it.
@@ -54,6 +58,7 @@
 		}
 		server.vm = vm
 		server.distance = distance(p.self, vm)
+		server.nameHash = xxhash.Sum64String(string(vm.Name))
 		next = append(next, server)
 	}
 	slices.SortFunc(next, func(a, b *Server) int { return cmp.Compare(a.vm.Name, b.vm.Name) })
@@ -96,8 +101,9 @@
 // Choice is a server for a call.
 type Choice struct {
 	Server *Server
-	// Expected is the predicted time to the first byte.
-	Expected time.Duration
+	// Expected is the predicted time to the first byte, Alone what it would be
+	// if nothing else waited.
+	Expected, Alone time.Duration
 	// Holder is another server that probably keeps the shared part; nil when
 	// the chosen one keeps it or nobody does.
 	Holder *Server
@@ -118,8 +124,9 @@
 			continue
 		}
 		home := homes.of(server)
-		holder := homes.holder(now, server, work)
-		expected := server.expect(now, server.uncached(now, work, holder != nil))
+		holder := homes.holder(now, server)
+		tokens := server.uncached(now, work, holder != nil)
+		expected, alone := server.expect(now, tokens), server.model.expect(now, tokens)
 		cost := expected + server.linkCost() + server.failurePenalty(now, failing, work)
 		if work.SharedKey != "" && home != server && !server.keeps(now, work.SharedKey) {
 			cost += awayFromHome
@@ -129,7 +136,7 @@
 			expected += work.Target
 		}
 		if best.Server == nil || cost < least {
-			best, least = Choice{Server: server, Expected: expected, Holder: holder}, cost
+			best, least = Choice{Server: server, Expected: expected, Alone: alone, Holder: holder}, cost
 		}
 	}
 	return best, best.Server != nil
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"hawthornstream/internal/ports"
 )
 
@@ -29,6 +27,8 @@
 	vm       ports.VM
 	engine   bool
 	distance ports.Distance
+	// nameHash is the hash of the VM's name.
+	nameHash uint64
 	own      Load
 	others   Load
 	model    model
@@ -113,9 +113,16 @@
 	return !s.vm.Leaving && s.health.takes(now, s.own.Calls) && !slices.Contains(work.Avoid, s.vm.Name)
 }
 
-// rank orders servers for a shared part: the highest is its home.
-func (s *Server) rank(key string) uint64 {
-	return xxhash.Sum64String(key + "\x00" + string(s.vm.Name))
+// rank orders servers for the hash of a shared part: the highest is its home.
+func (s *Server) rank(key uint64) uint64 {
+	return mix(key ^ s.nameHash)
+}
+
+// mix spreads the bits of a number, as the last step of splitmix64 does.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 func (s *Server) forget(sent time.Time) {
