--- a/internal/adapters/callerhttp/connections.go
+++ b/internal/adapters/callerhttp/connections.go
@@ -9,6 +9,14 @@
 	"github.com/uber-go/tally/v4"
 )
 
+// crowdedPart is the part of the limit from which connections are closed after
+// their answer: callers that were refused come back over new ones, and the old
+// ones would fill the limit. So few connections as leastCrowded are always kept.
+const (
+	crowdedPart  = 0.25
+	leastCrowded = 64
+)
+
 // connectionGauge counts the open connections and marks those above the limit,
 // so that their requests get a typed refusal.
 type connectionGauge struct {
@@ -31,6 +39,11 @@
 	return open
 }
 
+// crowded says whether connections should be closed after their answer.
+func (g *connectionGauge) crowded() bool {
+	return float64(g.open.Load()) > max(crowdedPart*float64(g.limit), leastCrowded)
+}
+
 func (g *connectionGauge) connContext(ctx context.Context, _ net.Conn) context.Context {
 	if g.add(1) <= g.limit {
 		return ctx
--- a/internal/adapters/callerhttp/routes.go
+++ b/internal/adapters/callerhttp/routes.go
@@ -70,8 +70,10 @@
 func (s *Server) handle(parse Parser) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		in := &Intake{ID: s.dialect.Identify(w, r)}
-		if s.announced.Load() {
+		if s.announced.Load() || s.connections.crowded() {
 			w.Header().Set("Connection", "close")
+		} else {
+			w.Header().Set("Keep-Alive", s.keepAlive)
 		}
 		call, refusal := s.admit(w, r, in, parse)
 		if refusal != nil {
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -23,8 +24,12 @@
 )
 
 const (
-	// idleTimeout is how long a connection without a request stays open.
-	idleTimeout = 2 * time.Minute
+	// idleSlack is how much longer a connection without a request stays open
+	// than callers are told.
+	idleSlack = 2 * time.Second
+	// filesForCallers is the part of the process's descriptors that callers'
+	// connections may take; the rest is for backend servers, peers and files.
+	filesForCallers = 0.6
 	// keepAlivePeriod is the time between two TCP probes of a quiet
 	// connection.
 	keepAlivePeriod = 15 * time.Second
@@ -48,10 +53,12 @@
 	logger        *log.Logger
 	lines         *logging.Limiter
 	connections   *connectionGauge
-	open          *openCalls
-	announced     atomic.Bool
-	closing       atomic.Bool
-	http          *http.Server
+	// keepAlive tells callers how long a connection without a request is kept.
+	keepAlive string
+	open      *openCalls
+	announced atomic.Bool
+	closing   atomic.Bool
+	http      *http.Server
 }
 
 // New returns a server that does not listen yet.
@@ -75,19 +82,29 @@
 		logger:        logger,
 		lines:         logging.NewLimiter(logger),
 		open:          newOpenCalls(),
-		connections:   newConnectionGauge(s.Limits.Connections, scope.Gauge("connections")),
+		connections:   newConnectionGauge(maxConnections(s.Limits), scope.Gauge("connections")),
+		keepAlive:     fmt.Sprintf("timeout=%d", int(s.Limits.Idle.Value().Seconds())),
 	}
 	server.http = &http.Server{
 		Handler:           dialect.Handler(server.handle),
 		MaxHeaderBytes:    int(s.Limits.Header.Bytes()) + headerSlack,
 		ReadHeaderTimeout: s.Limits.ReceiveWithin.Value(),
-		IdleTimeout:       idleTimeout,
+		IdleTimeout:       s.Limits.Idle.Value() + idleSlack,
 		ConnContext:       server.connections.connContext,
 		ConnState:         server.connections.connState,
 	}
 	return server
 }
 
+// maxConnections is the most connections of callers that the process has room
+// for.
+func maxConnections(limits settings.Limits) int {
+	if limits.Files == 0 {
+		return limits.Connections
+	}
+	return min(limits.Connections, int(filesForCallers*float64(limits.Files)))
+}
+
 // Run starts to listen and serves in the background. It fails when the address
 // can't be listened on, or with *tlsfiles.KeyPairError.
 func (s *Server) Run() error {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -89,6 +89,7 @@
 			QueueMemory:          64 * mebibyte,
 			WorkspaceQueueMemory: 16 * mebibyte,
 			Connections:          4096,
+			Idle:                 configuration.Duration(2 * time.Minute),
 			ReceiveWithin:        configuration.Duration(10 * time.Second),
 		},
 		Stop: Stop{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -112,6 +112,12 @@
 	// Connections is the most open connections of callers. Default: 4096; 1 to
 	// 65536.
 	Connections int `json:"connections,omitempty" validate:"between=1 65536"`
+	// Files is the most descriptors of the process. Default: no limit; 64 to
+	// 1048576.
+	Files int `json:"files,omitempty" validate:"omitempty,between=64 1048576"`
+	// Idle is how long a caller's connection without a request is kept. Default:
+	// 2m; 1s to 1h.
+	Idle configuration.Duration `json:"idle,omitempty" validate:"between=1s 1h"`
 	// ReceiveWithin is the time in which a request must arrive whole. Default:
 	// 10s; 100ms to 10m.
 	ReceiveWithin configuration.Duration `json:"receiveWithin,omitempty" validate:"between=100ms 10m"`
