Find changes that a lost watch kept back

Ruled out: the revision numbers on probes; they came, but one a second to one peer is too slow when most daemons are affected.

--- a/internal/app/liveconfig/platform.go
+++ b/internal/app/liveconfig/platform.go
@@ -81,7 +81,10 @@
 		return
 	}
 	previous, taken := m.adopt(update.Revision, sourcePlatform)
-	if taken && !m.everyoneWatches {
+	switch {
+	case taken && m.everyoneWatches:
+		m.announce(update.Revision.Number)
+	case taken:
 		m.spread(previous, update.Revision)
 	}
 }
--- a/internal/app/liveconfig/spread.go
+++ b/internal/app/liveconfig/spread.go
@@ -17,6 +17,9 @@
 	askPeriod = 250 * time.Millisecond
 	// askedPeers is the number of peers that are asked at a time.
 	askedPeers = 2
+	// announcedPeers is the number of peers that are told of a new revision: each
+	// daemon tells as many, so that a fleet of hundreds knows after a few steps.
+	announcedPeers = 3
 	// pullTimeout is the time after which another peer may be asked.
 	pullTimeout = time.Second
 )
@@ -48,14 +51,14 @@
 // one. Later, the numbers of the revisions ride on the probes between daemons.
 func (m *Manager) askPeers(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil && m.Current() == nil {
-		for _, peer := range m.randomPeers(random) {
+		for _, peer := range m.randomPeers(random, askedPeers) {
 			m.peers.Send(peer, &ports.ConfigurationDigest{})
 		}
 		pause.For(ctx, askPeriod)
 	}
 }
 
-func (m *Manager) randomPeers(random *rand.Rand) []ports.DaemonID {
+func (m *Manager) randomPeers(random *rand.Rand, count int) []ports.DaemonID {
 	self := m.directory.Self().Name
 	var peers []ports.DaemonID
 	for _, daemon := range m.directory.Daemons() {
@@ -64,7 +67,7 @@
 		}
 	}
 	random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers[:min(askedPeers, len(peers))]
+	return peers[:min(count, len(peers))]
 }
 
 // onDigest compares the number of a peer's revision with this daemon's: the one
@@ -111,11 +114,24 @@
 		}
 		return
 	}
-	if _, taken := m.adopt(revision, sourcePeer); taken {
+	_, taken := m.adopt(revision, sourcePeer)
+	switch {
+	case taken && m.everyoneWatches:
+		m.announce(revision.Number)
+	case taken:
 		m.forward(from, push)
 	}
 }
 
+// announce tells some peers the number of a new revision. Where each daemon
+// follows the platform itself, this helps those that the platform keeps it from.
+func (m *Manager) announce(number configuration.RevisionNumber) {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	for _, peer := range m.randomPeers(random, announcedPeers) {
+		m.peers.Send(peer, &ports.ConfigurationDigest{Number: number})
+	}
+}
+
 // pull asks a peer for a higher revision unless another was asked just now.
 func (m *Manager) pull(from ports.DaemonID, have configuration.RevisionNumber) {
 	now := time.Now()
