Tell each other which server keeps which shared prompt part

A second cause hid behind the first: the server with the least cost was judged alone, so that a workspace above its share was refused at its near server while a far one stood idle (FAIR).

Change: daemons tell the shared parts that they sent to servers, with their loads in the failure domain and twice a second elsewhere; the holder is the server that used the part last. The cheapest of the admitted servers is chosen. What another daemon says waits at a server fades to its usual amount.

--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -87,8 +87,8 @@
 		w.refuse(noServerRefusal("no backend server of the service is known"))
 		return true
 	}
-	choice, ok := pool.Choose(now, &w.work)
-	if !ok || !m.admits(now, choice, w) {
+	choice, ok := pool.Choose(now, &w.work, m.terms(now, w))
+	if !ok {
 		return false
 	}
 	w.slot = m.take(now, pool, choice, w)
@@ -96,13 +96,10 @@
 	return true
 }
 
-// admits says whether the call may be sent. What was begun is ended: a call that
-// was sent before is not refused for its target.
-func (m *Manager) admits(now time.Time, choice core.Choice, w *waiter) bool {
-	if len(w.call.Tried) > 0 {
-		return true
+func (m *Manager) terms(now time.Time, w *waiter) core.Terms {
+	return core.Terms{
+		Waited: now.Sub(w.call.Arrived), Overuse: m.overuse(now, w), Always: len(w.call.Tried) > 0,
 	}
-	return core.Admits(choice, &w.work, now.Sub(w.call.Arrived), m.overuse(now, w))
 }
 
 func (m *Manager) overuse(now time.Time, w *waiter) float64 {
@@ -180,12 +177,12 @@
 	if pool == nil {
 		return noServerRefusal("the service is gone from the configuration")
 	}
-	choice, ok := pool.Choose(now, &w.work)
-	if !ok {
+	choice, ok := pool.Choose(now, &w.work, core.Terms{Waited: now.Sub(w.call.Arrived)})
+	if choice.Server == nil {
 		return noServerRefusal("no backend server takes calls now")
 	}
 	reason, detail := outcome.ReasonQueueFull, "no backend server could answer in time"
-	if core.Admits(choice, &w.work, now.Sub(w.call.Arrived), 0) {
+	if ok {
 		reason, detail = outcome.ReasonFairShareExceeded, "the workspace has more than its fair share"
 	}
 	return &outcome.Refusal{
--- a/internal/app/dispatch/exchange.go
+++ b/internal/app/dispatch/exchange.go
@@ -16,8 +16,6 @@
 	// ratesPeriod is the time between two reports to all daemons, with the rates
 	// of workspaces.
 	ratesPeriod = 500 * time.Millisecond
-	// peerLoadFor is how long a report counts when no other follows.
-	peerLoadFor = 1500 * time.Millisecond
 )
 
 func (m *Manager) loadPeriod() time.Duration {
@@ -31,20 +29,38 @@
 	daemons := m.directory.Daemons()
 	m.mu.Lock()
 	m.sequence++
-	message := ports.LoadMessage{Sequence: m.sequence}
+	message := ports.LoadMessage{Sequence: m.sequence, Servers: m.ownLoads(), Kept: m.takeNews()}
+	m.farNews = append(m.farNews, message.Kept...)
+	far := message
 	if withRates {
 		message.Rates = m.ownRates(now)
+		far.Rates, far.Kept = message.Rates, m.farNews
+		m.farNews = nil
 	}
-	message.Servers = m.ownLoads()
 	m.mu.Unlock()
 	for _, daemon := range daemons {
-		if daemon.Name == self.Name || !withRates && daemon.Domain != self.Domain {
-			continue
+		switch {
+		case daemon.Name == self.Name:
+		case daemon.Domain == self.Domain:
+			m.transport.Send(daemon.Name, &message)
+		case withRates:
+			m.transport.Send(daemon.Name, &far)
 		}
-		m.transport.Send(daemon.Name, &message)
 	}
 }
 
+// takeNews returns the shared parts that were sent to servers since the last
+// message.
+func (m *Manager) takeNews() []ports.KeptPrompt {
+	var news []ports.KeptPrompt
+	for service, pool := range m.pools {
+		for _, part := range pool.TakeNews() {
+			news = append(news, ports.KeptPrompt{Service: service, Part: uint64(part.Key), Server: part.Server})
+		}
+	}
+	return news
+}
+
 func (m *Manager) ownLoads() []ports.ServerLoad {
 	var loads []ports.ServerLoad
 	for service, pool := range m.pools {
@@ -76,18 +92,19 @@
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	before, known := m.peers[from]
-	if known && message.Sequence <= before.sequence && now.Sub(before.at) < peerLoadFor {
-		return
+	reports, known := m.peers[from]
+	if !known {
+		reports = core.NewReports()
+		m.peers[from] = reports
 	}
-	loads := make(map[ports.ServiceName]map[ports.VMName]core.Load)
+	loads := make(map[core.ServerKey]core.Load, len(message.Servers))
 	for _, load := range message.Servers {
-		if loads[load.Service] == nil {
-			loads[load.Service] = make(map[ports.VMName]core.Load)
-		}
-		loads[load.Service][load.Server] = core.Load{Calls: load.Calls, Waiting: load.Waiting, Memory: load.Memory}
+		key := core.ServerKey{Service: load.Service, Server: load.Server}
+		loads[key] = core.Load{Calls: load.Calls, Waiting: load.Waiting, Memory: load.Memory}
+	}
+	if !reports.Take(now, message.Sequence, loads) {
+		return
 	}
-	m.peers[from] = &peerLoad{sequence: message.Sequence, at: now, loads: loads}
 	if len(message.Rates) > 0 {
 		rates := make(map[ports.WorkspaceID]core.Rates, len(message.Rates))
 		for _, rate := range message.Rates {
@@ -95,22 +112,29 @@
 		}
 		m.shares.SetPeer(now, from, rates)
 	}
+	for _, part := range message.Kept {
+		if pool, ok := m.pools[part.Service]; ok {
+			pool.Keeps(now, core.KeptPart{Key: core.PartKey(part.Part), Server: part.Server})
+		}
+	}
 	m.mergePeers(now)
 	m.settleWaiters(now)
 }
 
+// mergeEvery is the least time between two sums of what the other daemons told.
+const mergeEvery = 20 * time.Millisecond
+
 // mergePeers sums what the other daemons told. The caller holds the mutex.
 func (m *Manager) mergePeers(now time.Time) {
+	if now.Sub(m.merged) < mergeEvery {
+		return
+	}
+	m.merged = now
+	sums := make(map[core.ServerKey]core.Load)
+	for _, reports := range m.peers {
+		reports.AddTo(now, sums)
+	}
 	for name, pool := range m.pools {
-		sums := make(map[ports.VMName]core.Load)
-		for _, peer := range m.peers {
-			if now.Sub(peer.at) > peerLoadFor {
-				continue
-			}
-			for server, load := range peer.loads[name] {
-				sums[server] = sums[server].Add(load)
-			}
-		}
-		pool.SetOthers(sums)
+		pool.SetOthers(name, sums)
 	}
 }
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -64,17 +64,14 @@
 	shares   *core.Shares
 	waiters  []*waiter
 	settled  time.Time
-	peers    map[ports.DaemonID]*peerLoad
+	peers    map[ports.DaemonID]*core.Reports
+	merged   time.Time
+	// farNews are the shared parts that daemons of other failure domains were not
+	// told of yet.
+	farNews  []ports.KeptPrompt
 	sequence uint64
 }
 
-// peerLoad is what another daemon told last.
-type peerLoad struct {
-	sequence uint64
-	at       time.Time
-	loads    map[ports.ServiceName]map[ports.VMName]core.Load
-}
-
 // NewManager returns a manager whose handlers are registered. It does nothing
 // before Run.
 func NewManager(p Params) *Manager {
@@ -89,7 +86,7 @@
 		document:      &configuration.Document{},
 		pools:         make(map[ports.ServiceName]*core.Pool),
 		shares:        core.NewShares(),
-		peers:         make(map[ports.DaemonID]*peerLoad),
+		peers:         make(map[ports.DaemonID]*core.Reports),
 	}
 	p.Transport.Handle(ports.KindLoad,
 		func() ports.Message { return &ports.LoadMessage{} },
--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -13,18 +13,32 @@
 	patience = 0.125
 )
 
-// Admits says whether a call may be sent to its best server when some time was
-// waited already: its target can be met there, and a workspace above its fair
-// share waits behind few others, so that these find room.
-func Admits(choice Choice, work *Work, waited time.Duration, overuse float64) bool {
+// Terms are what a call has to meet on a server.
+type Terms struct {
+	// Waited is the time since the call came.
+	Waited time.Duration
+	// Overuse is what the call's workspace gets as a part of its fair share.
+	Overuse float64
+	// Always admits the call everywhere: it was sent before, and what was begun
+	// is ended.
+	Always bool
+}
+
+// admit says whether a call may be sent to a server: its target can be met there,
+// and a workspace above its fair share waits behind few others, so that these
+// find room.
+func (t *Terms) admit(choice Choice, work *Work) bool {
+	if t.Always {
+		return true
+	}
 	allowed := time.Duration(targetUse * float64(work.Target))
-	if waited+choice.Expected > allowed {
+	if t.Waited+choice.Expected > allowed {
 		return false
 	}
-	if overuse <= 1 {
+	if t.Overuse <= 1 {
 		return true
 	}
-	part := max(leastQueue, 2-overuse)
+	part := max(leastQueue, 2-t.Overuse)
 	return choice.Expected-choice.Alone <= time.Duration(part*float64(allowed))
 }
 
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -12,7 +12,9 @@
 
 // What it costs to leave the best place, in time to the first byte.
 const (
-	// awayFromHome is the cost of a server that has to fetch the shared part.
+	// fetchCost is the cost of a server that has to fetch the shared part, and
+	// awayFromHome that of one that has to read it and is not its home.
+	fetchCost    = 40 * time.Millisecond
 	awayFromHome = 60 * time.Millisecond
 	// otherDomain and otherRegion are the costs of links that are billed.
 	otherDomain = 10 * time.Millisecond
@@ -32,13 +34,14 @@
 	self    ports.VM
 	memory  int
 	servers []*Server
+	kept    keptTable
 	// homeBuffer is reused by homes.
 	homeBuffer []*Server
 }
 
 // NewPool returns a pool without servers as the daemon of the given VM sees it.
 func NewPool(self ports.VM) *Pool {
-	return &Pool{self: self}
+	return &Pool{self: self, kept: newKeptTable()}
 }
 
 // SetService takes over what the configuration says of the service: whether it
@@ -54,21 +57,24 @@
 	for _, vm := range vms {
 		server := p.find(vm.Name)
 		if server == nil || server.vm.Started != vm.Started || server.engine != p.engine {
-			server = &Server{engine: p.engine, model: newModel(p.engine), prompts: make(map[string]time.Time)}
+			server = &Server{engine: p.engine, model: newModel(p.engine)}
 		}
 		server.vm = vm
 		server.distance = distance(p.self, vm)
 		server.nameHash = xxhash.Sum64String(string(vm.Name))
 		next = append(next, server)
 	}
+	for _, server := range p.servers {
+		server.gone = !slices.Contains(next, server)
+	}
 	slices.SortFunc(next, func(a, b *Server) int { return cmp.Compare(a.vm.Name, b.vm.Name) })
 	p.servers = next
 }
 
 // SetOthers replaces the loads from the other daemons.
-func (p *Pool) SetOthers(loads map[ports.VMName]Load) {
+func (p *Pool) SetOthers(service ports.ServiceName, loads map[ServerKey]Load) {
 	for _, server := range p.servers {
-		server.others = loads[server.vm.Name]
+		server.others = loads[ServerKey{Service: service, Server: server.vm.Name}]
 	}
 }
 
@@ -105,41 +111,65 @@
 	// if nothing else waited.
 	Expected, Alone time.Duration
 	// Holder is another server that probably keeps the shared part; nil when
-	// the chosen one keeps it or nobody does.
+	// nothing is shared.
 	Holder *Server
+	// cost is the expected time with what else speaks against the server.
+	cost time.Duration
+	// tokens are the prompt tokens that the server has to read.
+	tokens int
 }
 
-// Choose returns the server on which the call should run: the one with the
-// least predicted time to the first byte, where leaving a prompt's home, the
-// failure domain or the region counts as time. Nobody is left out by the
-// allowance: the caller compares it with what is expected. It returns false when
-// no server takes calls.
-func (p *Pool) Choose(now time.Time, work *Work) (Choice, bool) {
+// Choose returns the server on which the call should run: of those that the
+// terms admit, the one with the least predicted time to the first byte, where
+// leaving a prompt's home, the failure domain or the region counts as time. When
+// none is admitted, it returns the least of all and says so. The server is nil
+// when none takes calls.
+func (p *Pool) Choose(now time.Time, work *Work, terms Terms) (Choice, bool) {
 	homes := p.homes(work)
 	failing := p.leastFailing(now)
-	var best Choice
-	var least time.Duration
+	var best, any Choice
 	for _, server := range p.servers {
 		if !server.takes(now, work) {
 			continue
 		}
-		home := homes.of(server)
-		holder := homes.holder(now, server)
-		tokens := server.uncached(now, work, holder != nil)
-		expected, alone := server.expect(now, tokens), server.model.expect(now, tokens)
-		cost := expected + server.linkCost() + server.failurePenalty(now, failing, work)
-		if work.SharedKey != "" && home != server && !server.keeps(now, work.SharedKey) {
-			cost += awayFromHome
+		choice := p.weigh(now, work, server, &homes, failing)
+		if any.Server == nil || choice.cost < any.cost {
+			any = choice
 		}
-		if !server.hasMemory(p.memory, work.OwnTokens+work.OutputTokens) {
-			cost += work.Target
-			expected += work.Target
+		if (best.Server == nil || choice.cost < best.cost) && terms.admit(choice, work) {
+			best = choice
 		}
-		if best.Server == nil || cost < least {
-			best, least = Choice{Server: server, Expected: expected, Alone: alone, Holder: holder}, cost
+	}
+	if best.Server == nil {
+		return any, false
+	}
+	return best, true
+}
+
+// weigh predicts how a call fares on one server.
+func (p *Pool) weigh(now time.Time, work *Work, server *Server, homes *homes, failing float64) Choice {
+	choice := Choice{Server: server, tokens: work.OwnTokens, cost: server.linkCost()}
+	if homes.key != 0 {
+		choice.Holder = p.kept.holder(now, homes.key, server)
+		switch {
+		case p.kept.by(now, homes.key, server):
+		case choice.Holder != nil:
+			choice.tokens += int(fetchedPart * float64(work.SharedTokens))
+			choice.cost += fetchCost
+		default:
+			choice.tokens += work.SharedTokens
+			if !homes.has(server) {
+				choice.cost += awayFromHome
+			}
 		}
 	}
-	return best, best.Server != nil
+	choice.Expected = server.expect(now, choice.tokens)
+	choice.Alone = server.model.expect(now, choice.tokens)
+	if !server.hasMemory(p.memory, work.OwnTokens+work.OutputTokens) {
+		choice.Expected += work.Target
+	}
+	choice.cost += choice.Expected + server.failurePenalty(now, failing, work)
+	return choice
 }
 
 func (s *Server) linkCost() time.Duration {
@@ -172,7 +202,7 @@
 // Take books a call on the chosen server and returns what it adds to the load.
 func (p *Pool) Take(now time.Time, choice Choice, work *Work) *Booking {
 	server := choice.Server
-	tokens := server.uncached(now, work, choice.Holder != nil)
+	tokens := choice.tokens
 	booking := &Booking{
 		server: server, sent: now, tokens: tokens,
 		behind: server.own.Waiting + server.others.Waiting + tokens,
@@ -180,7 +210,7 @@
 	}
 	server.own = server.own.Add(booking.load)
 	server.pending = append(server.pending, now)
-	server.remember(now, work.SharedKey)
+	p.kept.ran(now, partKey(work.SharedKey), work.SharedTokens, server)
 	return booking
 }
 
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -8,12 +8,6 @@
 )
 
 const (
-	// promptsRemembered is the most shared prompt parts that are remembered of
-	// one server.
-	promptsRemembered = 1024
-	// promptKeptFor is how long a shared part that ran on a server is taken to be
-	// still in its memory.
-	promptKeptFor = 8 * time.Second
 	// fetchedPart is what fetching a shared part from another server costs, as a
 	// part of reading it.
 	fetchedPart = 0.1
@@ -36,7 +30,8 @@
 	// pending are the times at which the calls without a first byte were sent,
 	// oldest first.
 	pending []time.Time
-	prompts map[string]time.Time
+	// gone says that the server left the list.
+	gone bool
 }
 
 // VM returns the server's VM.
@@ -54,38 +49,6 @@
 	return s.vm.Slots
 }
 
-// uncached returns the prompt tokens that the server has to read.
-func (s *Server) uncached(now time.Time, work *Work, fetch bool) int {
-	shared := work.SharedTokens
-	switch {
-	case s.keeps(now, work.SharedKey):
-		shared = 0
-	case fetch:
-		shared = int(fetchedPart * float64(shared))
-	}
-	return work.OwnTokens + shared
-}
-
-// keeps says whether a call with the shared part ran here a short time ago.
-func (s *Server) keeps(now time.Time, key string) bool {
-	seen, ok := s.prompts[key]
-	return ok && now.Sub(seen) < promptKeptFor
-}
-
-func (s *Server) remember(now time.Time, key string) {
-	if key == "" {
-		return
-	}
-	if len(s.prompts) >= promptsRemembered {
-		for old, seen := range s.prompts {
-			if now.Sub(seen) >= promptKeptFor || len(s.prompts) >= promptsRemembered {
-				delete(s.prompts, old)
-			}
-		}
-	}
-	s.prompts[key] = now
-}
-
 // expect predicts the time to the first byte of a call that reads a number of
 // prompt tokens. A call that has waited longer than the model says shows that
 // the model is wrong.
@@ -113,9 +76,9 @@
 	return !s.vm.Leaving && s.health.takes(now, s.own.Calls) && !slices.Contains(work.Avoid, s.vm.Name)
 }
 
-// rank orders servers for the hash of a shared part: the highest is its home.
-func (s *Server) rank(key uint64) uint64 {
-	return mix(key ^ s.nameHash)
+// rank orders servers for a shared part: the highest is its home.
+func (s *Server) rank(key PartKey) uint64 {
+	return mix(uint64(key) ^ s.nameHash)
 }
 
 // mix spreads the bits of a number, as the last step of splitmix64 does.
--- a/internal/ports/dispatch_messages.go
+++ b/internal/ports/dispatch_messages.go
@@ -7,6 +7,18 @@
 	Servers  []ServerLoad `cbor:"2,keyasint,omitempty"`
 	// Rates are present in some messages only; others leave the last ones valid.
 	Rates []WorkspaceRates `cbor:"3,keyasint,omitempty"`
+	// Kept are the shared parts of prompts that the daemon sent to servers since
+	// its last message to the receiver.
+	Kept []KeptPrompt `cbor:"4,keyasint,omitempty"`
+}
+
+// KeptPrompt says that a backend server keeps a shared part of prompts.
+type KeptPrompt struct {
+	_       struct{} `cbor:",toarray"`
+	Service ServiceName
+	// Part is the hash of the part's id.
+	Part   uint64
+	Server VMName
 }
 
 // ServerLoad is what one daemon runs on one backend server.
