Give workspaces above their share what the servers have to spare

Change: the part follows the load: it shrinks by a fifth each time a call within its share finds a queue, and grows by a hundredth each time it finds none. Fetching a shared part counts as 120 ms.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -6,9 +6,16 @@
 	// targetUse is the part of the target that the prediction may fill: a call
 	// that is only just in time is often late.
 	targetUse = 0.75
-	// leastQueue is the part of the time behind others that is left to
-	// workspaces at twice their share or more: they get what is idle.
-	leastQueue = 0.1
+	// leastSpare and mostSpare bound the part of the time behind others that is
+	// left to workspaces far above their share.
+	leastSpare = 0.05
+	mostSpare  = 0.6
+	// tightFrom is the part of the allowed time from which the time behind others
+	// of a call within its share shows that the servers have little to spare. The part left to others
+	// then shrinks by spareDecrease, and else grows by spareIncrease.
+	tightFrom     = 0.25
+	spareDecrease = 0.8
+	spareIncrease = 0.01
 	// patience is the part of the target for which a call waits for room.
 	patience = 0.125
 )
@@ -22,6 +29,26 @@
 	// Always admits the call everywhere: it was sent before, and what was begun
 	// is ended.
 	Always bool
+
+	// spare is the pool's.
+	spare float64
+}
+
+// allowed is the longest time to the first byte that is predicted for a call that
+// is sent.
+func (w *Work) allowed() time.Duration {
+	return time.Duration(targetUse * float64(w.Target))
+}
+
+// feelLoad learns from the best place of a call within its share how much the
+// servers have to spare for workspaces above theirs: a queue that fills on their
+// account makes the others late.
+func (p *Pool) feelLoad(best Choice, work *Work) {
+	if float64(best.Expected-best.Alone) > tightFrom*float64(work.allowed()) {
+		p.spare = max(leastSpare, p.spare*spareDecrease)
+		return
+	}
+	p.spare = min(mostSpare, p.spare+spareIncrease)
 }
 
 // admit says whether a call may be sent to a server: its target can be met there,
@@ -31,14 +58,14 @@
 	if t.Always {
 		return true
 	}
-	allowed := time.Duration(targetUse * float64(work.Target))
+	allowed := work.allowed()
 	if t.Waited+choice.Expected > allowed {
 		return false
 	}
 	if t.Overuse <= 1 {
 		return true
 	}
-	part := max(leastQueue, 2-t.Overuse)
+	part := max(t.spare, 2-t.Overuse)
 	return choice.Expected-choice.Alone <= time.Duration(part*float64(allowed))
 }
 
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -14,7 +14,7 @@
 const (
 	// fetchCost is the cost of a server that has to fetch the shared part, and
 	// awayFromHome that of one that has to read it and is not its home.
-	fetchCost    = 40 * time.Millisecond
+	fetchCost    = 120 * time.Millisecond
 	awayFromHome = 60 * time.Millisecond
 	// otherDomain and otherRegion are the costs of links that are billed.
 	otherDomain = 10 * time.Millisecond
@@ -35,13 +35,15 @@
 	memory  int
 	servers []*Server
 	kept    keptTable
+	// spare is the part of the allowed queue for workspaces above their share.
+	spare float64
 	// homeBuffer is reused by homes.
 	homeBuffer []*Server
 }
 
 // NewPool returns a pool without servers as the daemon of the given VM sees it.
 func NewPool(self ports.VM) *Pool {
-	return &Pool{self: self, kept: newKeptTable()}
+	return &Pool{self: self, kept: newKeptTable(), spare: mostSpare}
 }
 
 // SetService takes over what the configuration says of the service: whether it
@@ -127,6 +129,7 @@
 func (p *Pool) Choose(now time.Time, work *Work, terms Terms) (Choice, bool) {
 	homes := p.homes(work)
 	failing := p.leastFailing(now)
+	terms.spare = p.spare
 	var best, any Choice
 	for _, server := range p.servers {
 		if !server.takes(now, work) {
@@ -140,6 +143,9 @@
 			best = choice
 		}
 	}
+	if any.Server != nil && terms.Overuse <= 1 && !terms.Always {
+		p.feelLoad(any, work)
+	}
 	if best.Server == nil {
 		return any, false
 	}
