Keep slots free for workspaces within their share

Ruled out: the queue of prompts; it was short, the slots were full.

Change: a quarter of the slots, at the worst, is left to calls within the share, as much as the queue shows need. After a start the store is watched only once the other daemons can be known.

--- a/internal/app/dispatch/lists.go
+++ b/internal/app/dispatch/lists.go
@@ -17,6 +17,8 @@
 	// heardWithin is how long another daemon's word counts that it follows the
 	// list. Without one, this daemon follows itself.
 	heardWithin = 2500 * time.Millisecond
+	// startFor is how long the other daemons may be unknown after the start.
+	startFor = 5 * time.Second
 	// pullEvery is the least time between two requests for a list.
 	pullEvery = 300 * time.Millisecond
 )
@@ -108,7 +110,7 @@
 // this failure domain come first. Just after the start the others are not known
 // yet: the list is read once, and changes since then are found later.
 func (l *listExchange) wanted(now time.Time, daemons, rank int) bool {
-	if now.Sub(l.started) < heardWithin {
+	if now.Sub(l.started) < startFor {
 		return l.feed.Digest().Version == 0
 	}
 	l.mu.Lock()
--- a/internal/app/liveconfig/manager.go
+++ b/internal/app/liveconfig/manager.go
@@ -26,6 +26,7 @@
 	feed ports.RevisionFeed
 	// everyoneWatches makes each daemon follow the feed itself.
 	everyoneWatches bool
+	started         time.Time
 	// objects holds the chain that operators' edits go to; nil where operators
 	// write to the platform themselves.
 	objects   ports.ObjectAPI
@@ -89,6 +90,7 @@
 ) *Manager {
 	m := &Manager{
 		feed:      chainFeed{objects: objects},
+		started:   time.Now(),
 		objects:   objects,
 		directory: directory,
 		peers:     peers,
--- a/internal/app/liveconfig/platform.go
+++ b/internal/app/liveconfig/platform.go
@@ -15,6 +15,9 @@
 	// smallFleet is the largest fleet in which each daemon may watch: a watch is a
 	// call that counts.
 	smallFleet = 12
+	// startFor is how long the other daemons may be unknown after the start; the
+	// configuration is read once meanwhile.
+	startFor = 5 * time.Second
 	// roleCheckPeriod is the longest time until a daemon that does not watch
 	// looks whether it should.
 	roleCheckPeriod = time.Second
@@ -67,6 +70,8 @@
 	self := m.directory.Self()
 	order := domainOrder(m.directory.Daemons(), self.Domain)
 	switch {
+	case m.Current() != nil && m.everyoneWatches && time.Since(m.started) < startFor:
+		return ports.RevisionUpdate{}, false, nil
 	case m.everyoneWatches && len(m.directory.Daemons()) <= smallFleet || isWatcher(order, self.Name):
 		update, err := m.feed.Await(ctx, seen)
 		return update, true, err
--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -16,6 +16,10 @@
 	tightFrom     = 0.25
 	spareDecrease = 0.8
 	spareIncrease = 0.01
+	// mostReserved is the part of each server's slots that workspaces above their
+	// share leave free when the servers have nothing to spare: a slot that they
+	// take is gone for seconds.
+	mostReserved = 0.25
 	// patience is the part of the target for which a call waits for room.
 	patience = 0.125
 )
@@ -34,6 +38,14 @@
 	spare float64
 }
 
+// slotPart is the part of a server's slots that the call may use.
+func (t *Terms) slotPart() float64 {
+	if t.Overuse <= 1 || t.Always {
+		return 1
+	}
+	return 1 - mostReserved*(1-t.spare/mostSpare)
+}
+
 // allowed is the longest time to the first byte that is predicted for a call that
 // is sent.
 func (w *Work) allowed() time.Duration {
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -135,7 +135,7 @@
 		if !server.takes(now, work) {
 			continue
 		}
-		choice := p.weigh(now, work, server, &homes, failing)
+		choice := p.weigh(now, work, server, &homes, &terms, failing)
 		if any.Server == nil || choice.cost < any.cost {
 			any = choice
 		}
@@ -153,7 +153,9 @@
 }
 
 // weigh predicts how a call fares on one server.
-func (p *Pool) weigh(now time.Time, work *Work, server *Server, homes *homes, failing float64) Choice {
+func (p *Pool) weigh(
+	now time.Time, work *Work, server *Server, homes *homes, terms *Terms, failing float64,
+) Choice {
 	choice := Choice{Server: server, tokens: work.OwnTokens, cost: server.linkCost()}
 	if homes.key != 0 {
 		choice.Holder = p.kept.holder(now, homes.key, server)
@@ -169,7 +171,7 @@
 			}
 		}
 	}
-	choice.Expected = server.expect(now, choice.tokens)
+	choice.Expected = server.expect(now, choice.tokens, terms.slotPart())
 	choice.Alone = server.model.expect(now, choice.tokens)
 	if !server.hasMemory(p.memory, work.OwnTokens+work.OutputTokens) {
 		choice.Expected += work.Target
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -44,19 +44,15 @@
 	return s.own
 }
 
-// slots is the number of calls that run at once; zero when it is unknown.
-func (s *Server) slots() int {
-	return s.vm.Slots
-}
-
 // expect predicts the time to the first byte of a call that reads a number of
-// prompt tokens. A call that has waited longer than the model says shows that
-// the model is wrong.
-func (s *Server) expect(now time.Time, tokens int) time.Duration {
+// prompt tokens and may use a part of the slots. A call that has waited longer
+// than the model says shows that the model is wrong.
+func (s *Server) expect(now time.Time, tokens int, part float64) time.Duration {
 	load := s.own.Add(s.others)
 	expected := s.model.expect(now, load.Waiting+tokens)
-	if over := load.Calls + 1 - s.slots(); s.slots() > 0 && over > 0 {
-		expected += seconds(s.model.run * float64(over) / float64(s.slots()))
+	slots := part * float64(s.vm.Slots)
+	if over := float64(load.Calls+1) - slots; slots > 0 && over > 0 {
+		expected += seconds(s.model.run * over / slots)
 	}
 	if len(s.pending) > 0 {
 		expected = max(expected, now.Sub(s.pending[0]))
