Log each decision about a call with its inputs, measure latencies

Ruled out: lines without a limit; at the worst load they cost more than the refusals they tell of.

Change: call-placed, call-ran, call-retried and call-ended with workspace, class, revision, server, expected time and share; servers that come, leave, are excluded or readmitted; histograms of queueing, first byte, longest pause and whole answer; counters of refusals, retries and exclusions.

--- a/internal/adapters/callerhttp/call.go
+++ b/internal/adapters/callerhttp/call.go
@@ -39,6 +39,7 @@
 	now := time.Now()
 	call := &ports.Call{
 		ID:           in.ID,
+		Revision:     in.Configuration.Number,
 		Workspace:    in.Workspace,
 		Service:      name,
 		Kind:         kind,
--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -117,7 +117,10 @@
 		manager: m,
 		server:  choice.Server.VM(),
 		booking: pool.Take(now, choice, &w.work),
-		origin:  ports.SlotOrigin{Granter: m.directory.Self().Name, Waited: now.Sub(w.since)},
+		origin: ports.SlotOrigin{
+			Granter: m.directory.Self().Name, Waited: now.Sub(w.since),
+			Expected: choice.Expected, Overuse: m.overuse(now, w),
+		},
 	}
 	if choice.Holder != nil {
 		s.origin.PromptHolder = choice.Holder.VM().Address
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 
+	"hawthornstream/internal/adapters/metrics"
 	"hawthornstream/internal/core/configuration"
 	core "hawthornstream/internal/core/dispatch"
 	"hawthornstream/internal/ports"
@@ -49,7 +50,7 @@
 // Manager implements ports.SlotBroker. It is safe for concurrent use.
 type Manager struct {
 	logger        *log.Logger
-	scope         tally.Scope
+	excluded      *metrics.Counters
 	directory     ports.Directory
 	transport     ports.PeerTransport
 	configuration ports.ConfigurationSource
@@ -77,7 +78,7 @@
 func NewManager(p Params) *Manager {
 	m := &Manager{
 		logger:        p.Logger,
-		scope:         p.Scope.SubScope("dispatch"),
+		excluded:      metrics.NewCounters(p.Scope.SubScope("dispatch"), "servers_excluded", "service", "fault"),
 		directory:     p.Directory,
 		transport:     p.Transport,
 		configuration: p.Configuration,
@@ -165,7 +166,9 @@
 			m.pools[name] = pool
 		}
 		pool.SetService(service.Kind == configuration.ServiceKindEngine, service.MemoryTokens)
-		pool.SetServers(m.directory.Servers(name))
+		servers := m.directory.Servers(name)
+		m.tellServers(name, pool.VMs(), servers)
+		pool.SetServers(servers)
 	}
 	for name := range m.pools {
 		if _, ok := m.document.Services[name]; !ok {
--- a/internal/app/dispatch/slot.go
+++ b/internal/app/dispatch/slot.go
@@ -41,12 +41,17 @@
 
 // Release implements ports.Slot.
 func (s *slot) Release(report ports.RunReport) {
+	s.manager.tellHealth(s.server, s.release(report), report.Fault)
+}
+
+func (s *slot) release(report ports.RunReport) core.HealthChange {
 	now := time.Now()
 	s.manager.mu.Lock()
 	defer s.manager.mu.Unlock()
 	if report.FirstByteAfter > 0 && !s.begun.Swap(true) {
 		s.booking.Begun(now)
 	}
-	s.booking.Ended(now, report.Fault)
+	change := s.booking.Ended(now, report.Fault)
 	s.manager.settleWaiters(now)
+	return change
 }
--- a/internal/app/execution/manager.go
+++ b/internal/app/execution/manager.go
@@ -9,8 +9,6 @@
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
-	"hawthornstream/internal/adapters/logging"
-	"hawthornstream/internal/adapters/metrics"
 	"hawthornstream/internal/app/idempotency"
 	"hawthornstream/internal/core/configuration"
 	core "hawthornstream/internal/core/idempotency"
@@ -27,17 +25,13 @@
 
 // Manager implements ports.Executor and ports.CallHistory.
 type Manager struct {
-	log      *log.Logger
-	scope    tally.Scope
+	tell     *telling
 	broker   ports.SlotBroker
 	backends Backends
 	keys     KeyKeeper
 	budgets  *budgets
 	// maxAnswer is the largest answer that is held for a retry with its key.
 	maxAnswer int64
-	lines     *logging.Limiter
-	calls     *metrics.Counters
-	refusals  *metrics.Counters
 	*history
 }
 
@@ -66,13 +60,8 @@
 
 // NewManager returns a manager without calls.
 func NewManager(p Params) *Manager {
-	scope := p.Scope.SubScope("execution")
 	return &Manager{
-		log:       p.Logger,
-		scope:     scope,
-		lines:     logging.NewLimiter(p.Logger),
-		calls:     metrics.NewCounters(scope, "calls", "service", "run"),
-		refusals:  metrics.NewCounters(scope, "refusals", "reason", "service", "run"),
+		tell:      newTelling(p.Logger, p.Scope.SubScope("execution")),
 		broker:    p.Broker,
 		backends:  p.Backends,
 		keys:      p.Keys,
@@ -120,21 +109,13 @@
 	return &outcome.Refusal{Reason: outcome.ReasonInternal, End: outcome.NotRun, Detail: "no slot could be acquired"}
 }
 
-// record counts and logs the end of a call.
+// record tells the end of a call.
 func (m *Manager) record(call *ports.Call, life *trace, result outcome.Result) {
 	now := time.Now()
 	reason := outcome.Reason("")
 	if result.Refusal != nil {
 		reason = result.Refusal.Reason
-		m.refusals.Inc(string(reason), string(call.Service), string(result.End))
 	}
-	m.calls.Inc(string(call.Service), string(result.End))
 	life.add(now, "ended", fmt.Sprintf("run=%s reason=%s", result.End, reason))
-	if !m.lines.Allow("call-ended", string(reason)) {
-		return
-	}
-	m.log.Info().Str("event", "call-ended").Str("request", string(call.ID)).
-		Str("workspace", string(call.Workspace)).Str("service", string(call.Service)).
-		Str("run", string(result.End)).Str("reason", string(reason)).
-		Dur("took", now.Sub(call.Arrived)).Msg("")
+	m.tell.ended(now, call, result)
 }
--- a/internal/app/execution/run.go
+++ b/internal/app/execution/run.go
@@ -77,6 +77,7 @@
 	r.tries++
 	server := slot.Server()
 	r.life.add(time.Now(), "slot", slotDetail(server, slot.Origin()))
+	r.manager.tell.placed(r.call, server, slot.Origin())
 	if ctx.Err() != nil {
 		slot.Release(ports.RunReport{})
 		return ports.RunResult{}, gaveUp(ctx)
@@ -119,6 +120,7 @@
 
 func (r *run) note(server ports.VM, result ports.RunResult) {
 	r.end = retry.Merge(r.end, result.End)
+	r.manager.tell.ran(r.call, server, result)
 	if handed(result) {
 		r.sent++
 	}
@@ -151,27 +153,18 @@
 		return false
 	}
 	if verdict == retry.Again && !r.manager.budgets.spend(r.call.Service, now) {
-		r.count("retries_over_budget", last.Reason)
+		r.manager.tell.overBudget(r.call, last)
 		return false
 	}
 	wait := r.nextWait()
 	if wait >= r.call.Deadline.Sub(now) {
 		return false
 	}
-	r.count("retries", last.Reason)
+	r.manager.tell.retried(r.call, last, wait)
 	r.life.add(now, "retry", fmt.Sprintf("reason=%s wait=%s", last.Reason, wait))
-	if r.manager.lines.Allow("call-retried", string(last.Reason)) {
-		r.logRetry(last)
-	}
 	return pause.For(ctx, wait)
 }
 
-func (r *run) logRetry(last ports.RunResult) {
-	r.manager.log.Info().Str("event", "call-retried").Str("request", string(r.call.ID)).
-		Str("service", string(r.call.Service)).Str("reason", string(last.Reason)).
-		Str("detail", last.Detail).Msg("")
-}
-
 func (r *run) nextWait() time.Duration {
 	if r.wait == nil {
 		r.wait = backoff.NewExponentialBackOff()
@@ -182,12 +175,6 @@
 	return r.wait.NextBackOff()
 }
 
-func (r *run) count(name string, reason outcome.Reason) {
-	r.manager.scope.Tagged(map[string]string{
-		"reason": string(reason), "service": string(r.call.Service),
-	}).Counter(name).Inc(1)
-}
-
 // refuse ends the call with a refusal that owns up to every try.
 func (r *run) refuse(refusal *outcome.Refusal) outcome.Result {
 	refusal.End = retry.Merge(r.end, refusal.End)
--- a/internal/core/dispatch/health.go
+++ b/internal/core/dispatch/health.go
@@ -37,6 +37,30 @@
 	judged   time.Time
 }
 
+// HealthChange is a change of what is believed of a server.
+type HealthChange uint8
+
+// The changes.
+const (
+	// HealthSame is no change.
+	HealthSame HealthChange = iota
+	// HealthExcluded is a server that gets no calls for a time.
+	HealthExcluded
+	// HealthReadmitted is a server that answered after its exclusion.
+	HealthReadmitted
+)
+
+func healthChange(before, after bool) HealthChange {
+	switch {
+	case before == after:
+		return HealthSame
+	case after:
+		return HealthExcluded
+	default:
+		return HealthReadmitted
+	}
+}
+
 // ended takes what a run showed.
 func (h *health) ended(now time.Time, fault ports.ServerFault) {
 	h.fade(now)
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -85,6 +85,15 @@
 	return p.servers
 }
 
+// VMs returns the servers' VMs by name.
+func (p *Pool) VMs() []ports.VM {
+	vms := make([]ports.VM, 0, len(p.servers))
+	for _, server := range p.servers {
+		vms = append(vms, server.vm)
+	}
+	return vms
+}
+
 func (p *Pool) find(name ports.VMName) *Server {
 	at, ok := slices.BinarySearchFunc(p.servers, name, func(s *Server, name ports.VMName) int {
 		return cmp.Compare(s.vm.Name, name)
@@ -250,8 +259,10 @@
 	b.server.forget(b.sent)
 }
 
-// Ended tells that the call ended, and what it showed of the server.
-func (b *Booking) Ended(now time.Time, fault ports.ServerFault) {
+// Ended tells that the call ended, and what it showed of the server. It returns
+// what that changed.
+func (b *Booking) Ended(now time.Time, fault ports.ServerFault) HealthChange {
+	before := b.server.health.trial
 	if b.begun && fault == ports.ServerFaultNone {
 		b.server.model.ran(now.Sub(b.sent))
 	}
@@ -265,6 +276,7 @@
 	if b.begun || fault != ports.ServerFaultNone {
 		b.server.health.ended(now, fault)
 	}
+	return healthChange(before, b.server.health.trial)
 }
 
 // gaveUp learns from a call that ended without a byte because nobody waited for
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -57,6 +57,8 @@
 	// PromptHolder is the address of another backend server that probably keeps
 	// the shared parts of the prompt; empty when there is none.
 	PromptHolder string
+	// Revision is the configuration that the call was taken under.
+	Revision configuration.RevisionNumber
 	// Tried are the backend servers on which a try of the call failed.
 	Tried []VMName
 }
@@ -153,6 +155,10 @@
 	// PromptHolder is the address of another backend server that probably keeps
 	// the shared parts of the call's prompt; empty when there is none.
 	PromptHolder string
+	// Expected is the predicted time to the first byte, Overuse what the workspace
+	// gets as a part of its fair share; zero where the broker does not tell.
+	Expected time.Duration
+	Overuse  float64
 }
 
 // RunReport says how one run on a backend server went.
@@ -161,6 +167,8 @@
 	// FirstByteAfter is the time from sending to the first byte of the answer;
 	// zero when none came.
 	FirstByteAfter time.Duration
+	// LongestPause is the longest time between two events of a stream.
+	LongestPause time.Duration
 	// Fault is what the run showed of the server.
 	Fault ServerFault
 }
@@ -186,6 +194,15 @@
 	ServerFaultFailed
 )
 
+// String implements fmt.Stringer.
+func (f ServerFault) String() string {
+	names := [...]string{"none", "unreachable", "broken", "silent", "overloaded", "leaving", "failed"}
+	if int(f) >= len(names) {
+		return "invalid"
+	}
+	return names[f]
+}
+
 // Backend runs a call on a backend server, once.
 type Backend interface {
 	// Run sends the call and relays the answer to the sink. It never sends the
