Let hawthornctl explain read the logs of several daemons

Cause: a complaint comes with a request's id, and on the platform nobody asks a daemon over its operators' address hours later; there are only logs. Change: explain -logs ID FILE..., in order of time.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -11,9 +11,11 @@
 	"hawthornstream/internal/ports"
 )
 
-// explainCommand shows the life of a recent call.
+// explainCommand shows the life of a call.
 type explainCommand struct {
 	*options
+	// fromLogs says that the arguments after the request ID are log files.
+	fromLogs bool
 }
 
 // Name implements subcommands.Command.
@@ -27,14 +29,23 @@
 	return `explain REQUEST-ID:
   Print the steps of a recent call, named by the X-Request-Id of its answer. Only
   the daemon that took the call knows it: the servers are asked in turn.
+explain -logs REQUEST-ID [FILE...]:
+  Print the lines of the daemons' logs that name the request, in order of time. "-"
+  or no file reads the standard input.
 `
 }
 
 // SetFlags implements subcommands.Command.
-func (c *explainCommand) SetFlags(flags *flag.FlagSet) { c.register(flags) }
+func (c *explainCommand) SetFlags(flags *flag.FlagSet) {
+	c.register(flags)
+	flags.BoolVar(&c.fromLogs, "logs", false, "read log files in place of asking daemons")
+}
 
 // Execute implements subcommands.Command.
 func (c *explainCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.fromLogs && flags.NArg() > 0 {
+		return c.explainLogs(flags.Arg(0), flags.Args()[1:])
+	}
 	if flags.NArg() != 1 {
 		return c.fail(&usageError{Problem: "explain takes one request ID"})
 	}
--- a/internal/ctl/main_test.go
+++ b/internal/ctl/main_test.go
@@ -226,6 +226,28 @@
 	}
 }
 
+func TestExplainReadsTheLogsOfSeveralDaemons(t *testing.T) {
+	first := filepath.Join(t.TempDir(), "d1.log")
+	text := "time=2026-12-04T01:00:00.200Z level=info event=\"call-ended\" request=\"r1\" run=\"ran\"\n" +
+		"time=2026-12-04T01:00:00.100Z level=info event=\"call-placed\" request=\"r10\" server=\"s1\"\n"
+	if err := os.WriteFile(first, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	stdin := "d2 time=2026-12-04T01:00:00.050Z level=info event=\"call-placed\" request=\"r1\"\n"
+	code, out, stderr := run(stdin, "explain", "-logs", "r1", first, "-")
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	if code != 0 || len(lines) != 2 || !strings.Contains(lines[0], "call-placed") ||
+		!strings.Contains(lines[1], "150ms") || !strings.Contains(lines[1], "call-ended") {
+		t.Errorf("got %d %q %q", code, out, stderr)
+	}
+	if code, _, _ := run("", "explain", "-logs", "r2", first); code != 1 {
+		t.Errorf("a request that no line names: exit code %d", code)
+	}
+	if code, _, stderr := run("", "explain", "-logs", "r1", first+"-none"); code != 1 || stderr == "" {
+		t.Errorf("a log that can't be read: exit code %d, %q", code, stderr)
+	}
+}
+
 func TestRequestsOfTheOtherCommands(t *testing.T) {
 	for _, c := range []struct {
 		args  []string
