--- a/cmd/hawthornstreamd/main.go
+++ b/cmd/hawthornstreamd/main.go
@@ -53,11 +53,24 @@
 // signalBuffer holds the signal that begins a stop and the one that ends it.
 const signalBuffer = 2
 
+// signals are the ways in which the platform tells the process something.
+type signals struct {
+	// stop begins a stop, or ends one.
+	stop chan os.Signal
+	// hangup asks to read the settings again.
+	hangup chan os.Signal
+}
+
+// main takes over the signals before all else: a hangup that meets the process
+// while it starts would end it.
 func main() {
-	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+	told := signals{stop: make(chan os.Signal, signalBuffer), hangup: make(chan os.Signal, signalBuffer)}
+	signal.Notify(told.hangup, syscall.SIGHUP)
+	signal.Notify(told.stop, syscall.SIGTERM, os.Interrupt)
+	os.Exit(run(os.Args[1:], told, os.Stdout, os.Stderr))
 }
 
-func run(arguments []string, stdout, stderr io.Writer) int {
+func run(arguments []string, told signals, stdout, stderr io.Writer) int {
 	flags := flag.NewFlagSet("hawthornstreamd", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	path := flags.String("settings", "", "`FILE` with the start-up settings (JSON)")
@@ -74,24 +87,20 @@
 		fmt.Fprintln(stdout, "settings are valid")
 		return exitOK
 	}
-	return serve(s, *path, stdout)
+	return serve(s, *path, told, stdout)
 }
 
-func serve(s *settings.Settings, path string, stdout io.Writer) int {
+func serve(s *settings.Settings, path string, told signals, stdout io.Writer) int {
 	lines := logging.NewLines(stdout)
 	defer lines.Close(logCloseWithin)
 	logger := logging.New(lines, s.Log.Level)
-	signals := make(chan os.Signal, signalBuffer)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	hangups := make(chan os.Signal, signalBuffer)
-	signal.Notify(hangups, syscall.SIGHUP)
-	go reload(s, path, hangups, logger)
+	go reload(s, path, told.hangup, logger)
 	daemon, err := app.New(s, logger)
 	if err != nil {
 		logger.Error().Str("event", "daemon-not-composed").Err(err).Msg("")
 		return exitFailure
 	}
-	if err := daemon.Run(signals); err != nil {
+	if err := daemon.Run(told.stop); err != nil {
 		logger.Error().Str("event", "daemon-failed").Err(err).Msg("")
 		return exitFailure
 	}
--- a/internal/app/lifecycle/manager.go
+++ b/internal/app/lifecycle/manager.go
@@ -27,7 +27,7 @@
 
 // killMargin is the time between the end of a stop and the platform's kill, for
 // the process to exit in.
-const killMargin = 400 * time.Millisecond
+const killMargin = 700 * time.Millisecond
 
 // CallerServer is the part of the callers' server that a stop needs.
 type CallerServer interface {
--- a/testbench/soak/soak.go
+++ b/testbench/soak/soak.go
@@ -72,6 +72,8 @@
 	// planned says that the process was told to end.
 	planned bool
 	paused  bool
+	// started is when the process was started last.
+	started time.Time
 }
 
 // Run plays one seed. It fails when the world can't be built; broken promises are
@@ -129,6 +131,7 @@
 		}
 	}
 	for _, d := range w.daemons {
+		d.started = time.Now()
 		if err := d.Start(); err != nil {
 			return err
 		}
