Judge plain services by more than one answer

Ruled out: connections; none was above its limit.

Change: silent runs count like broken ones, three in a row; one waiting call of a plain service says something only after six usual answer times; a plain call is sent where up to two targets suffice, for late is better than none there.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -6,6 +6,8 @@
 	// targetUse is the part of the target that the prediction may fill: a call
 	// that is only just in time is often late.
 	targetUse = 0.75
+	// plainTargets is the same for plain services, in targets.
+	plainTargets = 2.0
 	// leastSpare and mostSpare bound the part of the time behind others that is
 	// left to workspaces far above their share.
 	leastSpare = 0.05
@@ -47,8 +49,12 @@
 }
 
 // allowed is the longest time to the first byte that is predicted for a call that
-// is sent.
+// is sent. Plain services are seldom the scarce thing: a late answer of theirs is
+// better than none.
 func (w *Work) allowed() time.Duration {
+	if !w.Engine {
+		return time.Duration(plainTargets * float64(w.Target))
+	}
 	return time.Duration(targetUse * float64(w.Target))
 }
 
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -235,6 +235,24 @@
 	}
 }
 
+// Load pattern: a plain service whose answers are lost now and then, and whose
+// work takes its own time. Neither one lost answer nor one long run turns the
+// others' calls away.
+func TestLongRunOfAPlainServiceTurnsNobodyAway(t *testing.T) {
+	pool := NewPool(self)
+	pool.SetServers(engines(1, 6)[:1])
+	work := &Work{Target: 200 * time.Millisecond}
+	server := pool.Servers()[0]
+	pool.Take(start, Choice{Server: server}, work)
+	if _, admitted := pool.Choose(start.Add(200*time.Millisecond), work, Terms{}); !admitted {
+		t.Error("one run of 200 ms turns others away")
+	}
+	pool.Take(start, Choice{Server: server}, work).Ended(start.Add(time.Second), ports.ServerFaultSilent)
+	if !server.takes(start.Add(time.Second), work) {
+		t.Error("one lost answer excludes the server")
+	}
+}
+
 // Single broken connections do not exclude a server.
 func TestServerWithSingleBrokenRunsStays(t *testing.T) {
 	pool := enginePool(1, 64)
--- a/internal/core/dispatch/health.go
+++ b/internal/core/dispatch/health.go
@@ -11,8 +11,8 @@
 	// can't be reached gets no calls; the time doubles with each failure.
 	firstExclusion = 400 * time.Millisecond
 	lastExclusion  = 3 * time.Second
-	// brokenInARow is the number of broken runs in a row that exclude a server:
-	// single connections break on healthy servers too.
+	// brokenInARow is the number of broken or silent runs in a row that exclude a
+	// server: single answers get lost on healthy servers too.
 	brokenInARow = 3
 	// fullFor is how long a server that declined a call for want of room gets no
 	// other one.
@@ -74,12 +74,12 @@
 	case ports.ServerFaultOverloaded:
 		h.answered()
 		h.until = now.Add(fullFor)
-	case ports.ServerFaultBroken:
+	case ports.ServerFaultBroken, ports.ServerFaultSilent:
 		h.failures += failureWeight * (1 - h.failures)
 		if h.broken++; h.broken >= brokenInARow || h.trial {
 			h.exclude(now)
 		}
-	case ports.ServerFaultUnreachable, ports.ServerFaultSilent:
+	case ports.ServerFaultUnreachable:
 		h.exclude(now)
 	case ports.ServerFaultLeaving:
 		h.until = now.Add(lastExclusion)
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -11,6 +11,9 @@
 	// fetchedPart is what fetching a shared part from another server costs, as a
 	// part of reading it.
 	fetchedPart = 0.1
+	// plainDoubt is how many usual answer times a call of a plain service waits
+	// before its server is doubted.
+	plainDoubt = 6
 	// memoryUse is the part of an engine's memory that is filled: output may be
 	// longer than announced.
 	memoryUse = 0.9
@@ -54,12 +57,29 @@
 	if over := float64(load.Calls+1) - slots; slots > 0 && over > 0 {
 		expected += seconds(s.model.run * over / slots)
 	}
-	if len(s.pending) > 0 {
-		expected = max(expected, now.Sub(s.pending[0]))
+	if waits := s.oldestPending(now); waits > s.doubtAfter() {
+		expected = max(expected, waits)
 	}
 	return expected
 }
 
+// oldestPending is how long the oldest call without a first byte has waited.
+func (s *Server) oldestPending(now time.Time) time.Duration {
+	if len(s.pending) == 0 {
+		return 0
+	}
+	return now.Sub(s.pending[0])
+}
+
+// doubtAfter is the wait of one call that says something about the next: engines
+// answer in order of arrival, while a plain service's calls take their own time.
+func (s *Server) doubtAfter() time.Duration {
+	if s.engine {
+		return 0
+	}
+	return seconds(plainDoubt * s.model.base)
+}
+
 // hasMemory says whether the work fits into the server's memory.
 func (s *Server) hasMemory(capacity int, tokens int) bool {
 	if capacity == 0 {
