Let classes of small calls wait behind more

Ruled out: single sizes within a class; judged by class, the largest calls of one are not left out.

Change: the queue left to workspaces above their share is the same time for all classes, times the root of the mean size of calls over that of the class, from a half to twice.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"hawthornstream/internal/ports"
+)
 
 const (
 	// targetUse is the part of the target that the prediction may fill: a call
@@ -36,8 +41,8 @@
 	// is ended.
 	Always bool
 
-	// spare is the pool's.
-	spare float64
+	// spare and queue are the pool's.
+	spare, queue float64
 }
 
 // slotPart is the part of a server's slots that the call may use.
@@ -61,8 +66,8 @@
 // feelLoad learns from the best place of a call within its share how much the
 // servers have to spare for workspaces above theirs: a queue that fills on their
 // account makes the others late.
-func (p *Pool) feelLoad(best Choice, work *Work) {
-	if float64(best.Expected-best.Alone) > tightFrom*float64(work.allowed()) {
+func (p *Pool) feelLoad(best Choice) {
+	if float64(best.Expected-best.Alone) > tightFrom*p.usualAllowed {
 		p.spare = max(leastSpare, p.spare*spareDecrease)
 		return
 	}
@@ -83,8 +88,49 @@
 	if t.Overuse <= 1 {
 		return true
 	}
-	part := max(t.spare, 2-t.Overuse)
-	return choice.Expected-choice.Alone <= time.Duration(part*float64(allowed))
+	return float64(choice.Expected-choice.Alone) <= max(t.spare, 2-t.Overuse)*t.queue
+}
+
+// usual remembers what calls of a pool are like: a queue is as long for a call
+// with a short target as for one with a long one, and a class whose calls are
+// small gives more answers for the same work.
+type usual struct {
+	// usualAllowed is the mean of the calls' allowed times in nanoseconds.
+	usualAllowed float64
+	// tokens are the mean tokens of all calls, and of each class.
+	tokens  float64
+	byClass map[ports.ClassName]float64
+}
+
+const (
+	// usualWeight is the weight of one more call in the means.
+	usualWeight = 0.02
+	// leastPreference and mostPreference bound how much longer a queue a class of
+	// small calls may wait in than the mean, and how much shorter one of large.
+	leastPreference = 0.5
+	mostPreference  = 2.0
+)
+
+// see takes a call into the means.
+func (u *usual) see(work *Work) {
+	if u.usualAllowed == 0 {
+		u.usualAllowed, u.tokens = float64(work.allowed()), work.Tokens()
+		u.byClass = make(map[ports.ClassName]float64)
+	}
+	u.usualAllowed += usualWeight * (float64(work.allowed()) - u.usualAllowed)
+	u.tokens += usualWeight * (work.Tokens() - u.tokens)
+	mean, known := u.byClass[work.Class]
+	if !known {
+		mean = work.Tokens()
+	}
+	u.byClass[work.Class] = mean + usualWeight*(work.Tokens()-mean)
+}
+
+// queue is the time behind others, in nanoseconds, of which workspaces above
+// their share get a part.
+func (u *usual) queue(work *Work) float64 {
+	preference := math.Sqrt(u.tokens / max(u.byClass[work.Class], 1))
+	return u.usualAllowed * min(max(preference, leastPreference), mostPreference)
 }
 
 // Patience is how long a call that finds no room waits for it. What waits longer
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -173,15 +173,16 @@
 func TestSpareFollowsTheLoad(t *testing.T) {
 	pool := enginePool(1, 64)
 	work := draft("")
+	pool.see(work)
 	queued := Choice{Expected: work.allowed(), Alone: 100 * time.Millisecond}
 	for range 40 {
-		pool.feelLoad(queued, work)
+		pool.feelLoad(queued)
 	}
 	if pool.spare != leastSpare {
 		t.Errorf("spare is %v after a long queue", pool.spare)
 	}
 	for range 100 {
-		pool.feelLoad(Choice{Expected: 100 * time.Millisecond, Alone: 100 * time.Millisecond}, work)
+		pool.feelLoad(Choice{Expected: 100 * time.Millisecond, Alone: 100 * time.Millisecond})
 	}
 	if pool.spare != mostSpare {
 		t.Errorf("spare is %v on idle servers", pool.spare)
@@ -448,3 +449,24 @@
 		t.Error("those who were refused together return together")
 	}
 }
+
+// Load pattern: a workspace above its share sends small and large calls beside
+// each other. The small ones, which give more answers for the same work, may wait
+// behind more; the large ones of a class are not told from its small ones.
+func TestClassOfSmallCallsMayWaitBehindMore(t *testing.T) {
+	pool := enginePool(1, 64)
+	small := &Work{Engine: true, Class: "query", OwnTokens: 800, OutputTokens: 300, Target: 400 * time.Millisecond}
+	large := &Work{Engine: true, Class: "draft", OwnTokens: 11000, OutputTokens: 400, Target: 800 * time.Millisecond}
+	for range 500 {
+		pool.see(small)
+		pool.see(large)
+	}
+	if pool.queue(small) < 1.5*pool.queue(large) {
+		t.Errorf("queues of %v and %v", time.Duration(pool.queue(small)), time.Duration(pool.queue(large)))
+	}
+	huge := *large
+	huge.OwnTokens *= 4
+	if pool.queue(&huge) != pool.queue(large) {
+		t.Error("the largest calls of a class wait behind less than the others")
+	}
+}
--- a/internal/core/dispatch/load.go
+++ b/internal/core/dispatch/load.go
@@ -10,6 +10,7 @@
 type Work struct {
 	// Engine says that the call is for a model engine.
 	Engine bool
+	Class  ports.ClassName
 	// SharedKey identifies the shared part of the prompt; empty for none.
 	SharedKey string
 	// SharedTokens and OwnTokens are the prompt's tokens that other calls also
@@ -25,7 +26,7 @@
 
 // WorkOf returns the work of a call.
 func WorkOf(call *ports.Call) Work {
-	work := Work{Target: call.FirstTokenBy.Sub(call.Arrived), Avoid: call.Tried}
+	work := Work{Class: call.Class, Target: call.FirstTokenBy.Sub(call.Arrived), Avoid: call.Tried}
 	if prompt := call.Prompt; prompt != nil {
 		work.Engine = true
 		work.SharedKey = prompt.SharedKey()
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -37,6 +37,7 @@
 	kept    keptTable
 	// spare is the part of the allowed queue for workspaces above their share.
 	spare float64
+	usual
 	// homeBuffer is reused by homes.
 	homeBuffer []*Server
 }
@@ -138,7 +139,8 @@
 func (p *Pool) Choose(now time.Time, work *Work, terms Terms) (Choice, bool) {
 	homes := p.homes(work)
 	failing := p.leastFailing(now)
-	terms.spare = p.spare
+	p.see(work)
+	terms.spare, terms.queue = p.spare, p.queue(work)
 	var best, any Choice
 	for _, server := range p.servers {
 		if !server.takes(now, work) {
@@ -153,7 +155,7 @@
 		}
 	}
 	if any.Server != nil && terms.Overuse <= 1 && !terms.Always {
-		p.feelLoad(any, work)
+		p.feelLoad(any)
 	}
 	if best.Server == nil {
 		return any, false
