Refuse callers until they have gone before a kill; weigh those far above their share

Ruled out: calls in progress; none was cut.

Change: before the platform's kill a stopping daemon keeps its listener, refuses each call with the time to come back and closes once callers have gone or 0.5 s are left; the queue and slots left to a workspace shrink with its overuse.

--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -132,6 +132,16 @@
 	s.announced.Store(true)
 }
 
+// Refuse makes each further call get a refusal that says when to come back.
+func (s *Server) Refuse() {
+	s.closing.Store(true)
+}
+
+// Connected says whether callers have connections open.
+func (s *Server) Connected() bool {
+	return s.connections.open.Load() > 0
+}
+
 // stopping refuses a call that comes over a connection which the stop has not
 // closed yet: it might not end in time.
 func (s *Server) stopping() *outcome.Refusal {
--- a/internal/app/lifecycle/manager.go
+++ b/internal/app/lifecycle/manager.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 
 	"hawthornstream/internal/core/configuration"
+	"hawthornstream/internal/pause"
 	"hawthornstream/internal/ports"
 	"hawthornstream/internal/settings"
 )
@@ -29,10 +30,23 @@
 // the process to exit in.
 const killMargin = 700 * time.Millisecond
 
+const (
+	// closeMargin is the time between the end of accepting connections and the
+	// end of a stop that the platform's kill bounds.
+	closeMargin = 500 * time.Millisecond
+	// lingerCheck is the time between two looks whether callers are connected.
+	lingerCheck = 50 * time.Millisecond
+)
+
 // CallerServer is the part of the callers' server that a stop needs.
 type CallerServer interface {
 	// Announce asks callers to send no further request on open connections.
 	Announce()
+	// Refuse answers each further call with a refusal that says when to come
+	// back, over whatever connection it comes.
+	Refuse()
+	// Connected says whether callers have connections open.
+	Connected() bool
 	// Stop takes no new call and waits for those in progress. When the context
 	// ends first it cuts them off and fails.
 	Stop(ctx context.Context) error
@@ -121,6 +135,7 @@
 	case <-time.After(m.limits.Announce.Value()):
 	case <-ctx.Done():
 	}
+	m.linger(ctx)
 	if err := m.callers.Stop(ctx); err != nil {
 		m.logger.Error().Str("event", "stop-cut-calls").Err(err).Msg("")
 		return err
@@ -129,6 +144,20 @@
 	return nil
 }
 
+// linger refuses calls for as long as the platform's kill allows and callers are
+// connected: a connection that is closed while a request is on its way leaves the
+// caller without an answer.
+func (m *Manager) linger(ctx context.Context) {
+	if m.limits.KilledAfter == 0 {
+		return
+	}
+	m.callers.Refuse()
+	ctx, cancel := context.WithTimeout(ctx, m.limits.Within.Value()-m.limits.Announce.Value()-closeMargin)
+	defer cancel()
+	for m.callers.Connected() && pause.For(ctx, lingerCheck) {
+	}
+}
+
 // planned schedules the stop that the configuration asks for, if any, in place
 // of an earlier schedule.
 func (m *Manager) planned(revision *ports.Configuration) {
--- a/internal/app/lifecycle/manager_test.go
+++ b/internal/app/lifecycle/manager_test.go
@@ -27,10 +27,19 @@
 type recorder struct {
 	steps []string
 	calls chan struct{}
+	// connected is how often callers are still found connected.
+	connected int
 }
 
 func (r *recorder) Announce() { r.steps = append(r.steps, "announce") }
 
+func (r *recorder) Refuse() { r.steps = append(r.steps, "refuse") }
+
+func (r *recorder) Connected() bool {
+	r.connected--
+	return r.connected >= 0
+}
+
 func (r *recorder) Leave() { r.steps = append(r.steps, "leave") }
 
 func (r *recorder) Stop(ctx context.Context) error {
@@ -68,6 +77,38 @@
 	}
 }
 
+// Before a platform's kill, callers are refused for as long as they are connected:
+// a closed connection may have a request on its way.
+func TestCallersAreRefusedUntilTheyHaveGone(t *testing.T) {
+	m, r, _ := newTestManager(time.Hour)
+	m.limits.KilledAfter = configuration.Duration(time.Hour)
+	r.connected = 2
+	close(r.calls)
+	if err := m.Drain(context.Background(), CauseSignal); err != nil {
+		t.Fatalf("drain: %v", err)
+	}
+	if want := []string{"announce", "leave", "refuse", "stop"}; !slices.Equal(r.steps, want) {
+		t.Errorf("steps %v, want %v", r.steps, want)
+	}
+	if r.connected >= 0 {
+		t.Error("the stop did not wait for the callers to go")
+	}
+}
+
+func TestLingeringEndsBeforeTheKill(t *testing.T) {
+	m, r, _ := newTestManager(closeMargin + 200*time.Millisecond)
+	m.limits.KilledAfter = configuration.Duration(time.Hour)
+	r.connected = 1 << 30
+	close(r.calls)
+	began := time.Now()
+	if err := m.Drain(context.Background(), CauseSignal); err != nil {
+		t.Fatalf("drain: %v", err)
+	}
+	if took := time.Since(began); took > closeMargin+200*time.Millisecond {
+		t.Errorf("the stop took %v", took)
+	}
+}
+
 func TestDrainEndsAtItsTimeLimit(t *testing.T) {
 	m, _, _ := newTestManager(time.Millisecond)
 	err := m.Drain(context.Background(), CauseSignal)
--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -27,6 +27,12 @@
 	// share leave free when the servers have nothing to spare: a slot that they
 	// take is gone for seconds.
 	mostReserved = 0.25
+	// farAbove is the overuse from which a workspace gets less than those that
+	// are less above their share, in proportion, down to leastWeight; it leaves up
+	// to reservedFarAbove more of the slots free.
+	farAbove         = 2.0
+	leastWeight      = 0.2
+	reservedFarAbove = 0.25
 	// patience is the part of the target for which a call waits for room.
 	patience = 0.125
 )
@@ -50,7 +56,13 @@
 	if t.Overuse <= 1 || t.Always {
 		return 1
 	}
-	return 1 - mostReserved*(1-t.spare/mostSpare)
+	return 1 - mostReserved*(1-t.spare/mostSpare) - reservedFarAbove*(1-t.weight())
+}
+
+// weight makes workspaces that are above their share get alike: otherwise those
+// whose callers meet idle servers would get all there is to spare.
+func (t *Terms) weight() float64 {
+	return min(max(farAbove/t.Overuse, leastWeight), 1)
 }
 
 // allowed is the longest time to the first byte that is predicted for a call that
@@ -88,7 +100,7 @@
 	if t.Overuse <= 1 {
 		return true
 	}
-	return float64(choice.Expected-choice.Alone) <= max(t.spare, 2-t.Overuse)*t.queue
+	return float64(choice.Expected-choice.Alone) <= max(t.spare*t.weight(), 2-t.Overuse)*t.queue
 }
 
 // usual remembers what calls of a pool are like: a queue is as long for a call
