Keep the platform's names in platform/

Cause: the soak's callers and backend servers spoke the platform's header fields themselves, outside the folder that alone should know them.

--- a/testbench/soak/backends.go
+++ b/testbench/soak/backends.go
@@ -85,12 +85,11 @@
 		ways = sound
 	}
 	if ways == full {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		platformtest.Decline(w)
 		return
 	}
-	id, last := r.Header.Get("Attempt-Id"), r.Header.Get("Last-Event-Id")
-	s.ledger.ran(s.Name, s.service, id, r.Header.Get("Tenant"), last != "")
+	id, last := platformtest.CallID(r), platformtest.LastEvent(r)
+	s.ledger.ran(s.Name, s.service, id, platformtest.Workspace(r), last > 0)
 	time.Sleep(time.Duration(rand.IntN(20)) * time.Millisecond)
 	switch ways {
 	case losing:
@@ -118,9 +117,8 @@
 	_, _ = io.WriteString(w, body)
 }
 
-func (s *backendServer) stream(w http.ResponseWriter, id, last string, cut bool) {
+func (s *backendServer) stream(w http.ResponseWriter, id string, from int, cut bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	from, _ := strconv.Atoi(last)
 	end := streamEvents
 	if cut {
 		end = from + rand.IntN(streamEvents-from+1)
--- a/testbench/soak/callers.go
+++ b/testbench/soak/callers.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"hawthornstream/platform/platformtest"
 )
 
 // callTimeout is the callers' deadline.
@@ -48,20 +50,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	url := "http://" + c.targets[c.random.IntN(len(c.targets))] + k.path
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	target := c.targets[c.random.IntN(len(c.targets))]
+	request, err := platformtest.NewRequest(ctx, target, platformtest.Call{
+		ID: id, Key: key, Path: k.path, Within: within, SharedPart: fmt.Sprintf("%02x", c.random.IntN(9)),
+	})
 	if err != nil {
 		c.ledger.add("soak: %v", err)
 		return
 	}
-	request.Host = "h.example"
-	for name, value := range map[string]string{
-		"Attempt-Id": id, "Api-Key": key, "Deadline-Ms": fmt.Sprint(within.Milliseconds()), "Model": "m",
-		"Token-Count": "900,40", "Prompt-Prefix": fmt.Sprintf("aa:300,%02x:300,ff%s:300", c.random.IntN(9), id),
-		"Tenant": "forged", "Expect-Instance": "forged",
-	} {
-		request.Header.Set(name, value)
-	}
 	revoked := key == "key-2" && c.revoked()
 	c.ledger.sent(id, k, workspace)
 	response, err := c.client.Do(request)
@@ -76,5 +72,5 @@
 	if response.StatusCode == http.StatusUnauthorized && key == "key-1" || response.StatusCode == http.StatusNotFound {
 		c.ledger.add("denied: %s was answered %d", id, response.StatusCode)
 	}
-	c.ledger.ended(id, response.StatusCode, err == nil, string(body), wantBody(k, id), response.Header.Get("Response-Seal"))
+	c.ledger.ended(id, response.StatusCode, err == nil, string(body), wantBody(k, id), platformtest.Sealed(response))
 }
--- a/testbench/soak/ledger.go
+++ b/testbench/soak/ledger.go
@@ -87,14 +87,14 @@
 	}
 }
 
-// answered notes how a call ended for its caller.
-func (l *ledger) ended(id string, status int, whole bool, body, want string, seal string) {
+// ended notes how a call ended for its caller.
+func (l *ledger) ended(id string, status int, whole bool, body, want string, sealed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	call := l.calls[id]
 	switch {
-	case status == 200 && whole && (body != want || seal == ""):
-		l.breach("mixed: %s got a success with %q, seal %q", id, body, seal)
+	case status == 200 && whole && (body != want || !sealed):
+		l.breach("mixed: %s got a success with %q, sealed %v", id, body, sealed)
 	case status == 200 && whole:
 		l.answered++
 	case status == 503:
--- a/testbench/soak/soak_test.go
+++ b/testbench/soak/soak_test.go
@@ -54,10 +54,10 @@
 		"unasked":       func(l *ledger) { l.ran("s", "app", "x", "t1", false) },
 		"workspace":     func(l *ledger) { l.ran("s", "app", "r", "t2", false) },
 		"route":         func(l *ledger) { l.ran("s", "llm", "r", "t1", false) },
-		"refused, runs": func(l *ledger) { l.ended("w", 503, true, "", "", ""); l.ran("s", "app", "w", "t1", false) },
-		"ran, refused":  func(l *ledger) { l.ran("s", "app", "w", "t1", false); l.ended("w", 503, true, "", "", "") },
-		"mixed":         func(l *ledger) { l.ended("r", 200, true, "other", "answer", "seal") },
-		"no seal":       func(l *ledger) { l.ended("r", 200, true, "answer", "answer", "") },
+		"refused, runs": func(l *ledger) { l.ended("w", 503, true, "", "", false); l.ran("s", "app", "w", "t1", false) },
+		"ran, refused":  func(l *ledger) { l.ran("s", "app", "w", "t1", false); l.ended("w", 503, true, "", "", false) },
+		"mixed":         func(l *ledger) { l.ended("r", 200, true, "other", "answer", true) },
+		"no seal":       func(l *ledger) { l.ended("r", 200, true, "answer", "answer", false) },
 		"drain":         func(l *ledger) { l.leave("s", time.Now().Add(-time.Second)); l.ran("s", "app", "r", "t1", false) },
 	}
 	for name, breach := range cases {
