--- a/testbench/soak/ledger.go
+++ b/testbench/soak/ledger.go
@@ -30,9 +30,7 @@
 	broken []string
 	// leaving are the servers that were told to leave, with the time from which
 	// they must get nothing.
-	leaving map[string]time.Time
-	// revoked is when the second key must no longer work; zero while it may.
-	revoked  time.Time
+	leaving  map[string]time.Time
 	answered int
 }
 
