Turn requests away early when a daemon is late with everything

Change: timers that run 60 ms late make a growing part of the requests be refused before any work, at most 95 in 100; callers' connections are bounded by memory as well as by descriptors.

--- a/internal/adapters/callerhttp/routes.go
+++ b/internal/adapters/callerhttp/routes.go
@@ -108,6 +108,9 @@
 		return nil, refusal
 	}
 	in.ReadBody = func() ([]byte, *outcome.Refusal) { return s.readBody(w, r) }
+	if refusal := s.pressure.refusal(); refusal != nil {
+		return nil, refusal
+	}
 	return parse(r, in)
 }
 
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,10 @@
 	// filesForCallers is the part of the process's descriptors that callers'
 	// connections may take; the rest is for backend servers, peers and files.
 	filesForCallers = 0.6
+	// memoryForCallers is the part of the process's memory that their connections
+	// may take, at connectionMemory bytes each for buffers and stacks.
+	memoryForCallers = 0.4
+	connectionMemory = 24 << 10
 	// keepAlivePeriod is the time between two TCP probes of a quiet
 	// connection.
 	keepAlivePeriod = 15 * time.Second
@@ -56,8 +61,10 @@
 	// keepAlive tells callers how long a connection without a request is kept.
 	keepAlive string
 	open      *openCalls
+	pressure  *pressure
 	announced atomic.Bool
 	closing   atomic.Bool
+	stopOnce  sync.Once
 	http      *http.Server
 }
 
@@ -82,6 +89,7 @@
 		logger:        logger,
 		lines:         logging.NewLimiter(logger),
 		open:          newOpenCalls(),
+		pressure:      newPressure(),
 		connections:   newConnectionGauge(maxConnections(s.Limits), scope.Gauge("connections")),
 		keepAlive:     fmt.Sprintf("timeout=%d", int(s.Limits.Idle.Value().Seconds())),
 	}
@@ -99,10 +107,14 @@
 // maxConnections is the most connections of callers that the process has room
 // for.
 func maxConnections(limits settings.Limits) int {
-	if limits.Files == 0 {
-		return limits.Connections
+	most := limits.Connections
+	if limits.Files > 0 {
+		most = min(most, int(filesForCallers*float64(limits.Files)))
 	}
-	return min(limits.Connections, int(filesForCallers*float64(limits.Files)))
+	if limits.Memory > 0 {
+		most = min(most, int(memoryForCallers*float64(limits.Memory.Bytes())/connectionMemory))
+	}
+	return most
 }
 
 // Run starts to listen and serves in the background. It fails when the address
@@ -117,6 +129,7 @@
 	if err != nil {
 		return err
 	}
+	go s.pressure.run()
 	go func() {
 		if err := s.http.Serve(listener); !eris.Is(err, http.ErrServerClosed) {
 			s.logger.Error().Str("event", "callers-serve-failed").Err(err).Msg("")
@@ -158,6 +171,7 @@
 // and cut off.
 func (s *Server) Stop(ctx context.Context) error {
 	s.closing.Store(true)
+	defer s.stopOnce.Do(func() { close(s.pressure.stop) })
 	err := s.http.Shutdown(ctx)
 	if err == nil {
 		return nil
--- a/internal/adapters/callerhttp/status.go
+++ b/internal/adapters/callerhttp/status.go
@@ -23,6 +23,7 @@
 	outcome.ReasonNotReady:               http.StatusServiceUnavailable,
 	outcome.ReasonStopping:               http.StatusServiceUnavailable,
 	outcome.ReasonTooManyConnections:     http.StatusServiceUnavailable,
+	outcome.ReasonDaemonOverloaded:       http.StatusServiceUnavailable,
 	outcome.ReasonQueueFull:              http.StatusTooManyRequests,
 	outcome.ReasonDeadlineExceeded:       http.StatusGatewayTimeout,
 	outcome.ReasonNoServer:               http.StatusServiceUnavailable,
--- a/internal/core/outcome/reason.go
+++ b/internal/core/outcome/reason.go
@@ -21,6 +21,7 @@
 	ReasonNotReady               Reason = "not-ready"
 	ReasonStopping               Reason = "stopping"
 	ReasonTooManyConnections     Reason = "too-many-connections"
+	ReasonDaemonOverloaded       Reason = "daemon-overloaded"
 	ReasonQueueFull              Reason = "queue-full"
 	ReasonDeadlineExceeded       Reason = "deadline-exceeded"
 	ReasonCallerGone             Reason = "caller-gone"
