--- a/internal/adapters/callerhttp/server_test.go
+++ b/internal/adapters/callerhttp/server_test.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -302,3 +303,19 @@
 func TestMain(m *testing.M) {
 	goleak.VerifyTestMain(m)
 }
+
+// While the process is late with everything, requests are turned away before any
+// work, as not run.
+func TestOverloadedDaemonTurnsRequestsAway(t *testing.T) {
+	listener, server, _ := newTestServer(t, executorFunc(answer))
+	server.pressure.part.Store(math.Float64bits(1))
+	response, err := http.DefaultTransport.RoundTrip(newRequest(t, http.MethodGet, listener.URL+"/services/registry/x", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get(headerRun) != string(outcome.NotRun) ||
+		response.Header.Get(headerRetryAfter) == "" {
+		t.Errorf("got %d %v", response.StatusCode, response.Header)
+	}
+}
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -244,8 +244,9 @@
 	work := &Work{Target: 200 * time.Millisecond}
 	server := pool.Servers()[0]
 	pool.Take(start, Choice{Server: server}, work)
-	if _, admitted := pool.Choose(start.Add(200*time.Millisecond), work, Terms{}); !admitted {
-		t.Error("one run of 200 ms turns others away")
+	choice, admitted := pool.Choose(start.Add(200*time.Millisecond), work, Terms{})
+	if !admitted || choice.Expected > 100*time.Millisecond {
+		t.Errorf("beside one run of 200 ms: admitted %v, expected %v", admitted, choice.Expected)
 	}
 	pool.Take(start, Choice{Server: server}, work).Ended(start.Add(time.Second), ports.ServerFaultSilent)
 	if !server.takes(start.Add(time.Second), work) {
