--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -17,9 +17,10 @@
 	// left to workspaces far above their share.
 	leastSpare = 0.05
 	mostSpare  = 0.6
-	// tightFrom is the part of the allowed time from which the time behind others
-	// of a call within its share shows that the servers have little to spare. The part left to others
-	// then shrinks by spareDecrease, and else grows by spareIncrease.
+	// tightFrom is the part of the usual allowed time from which the time behind
+	// others of a call within its share shows that the servers have little to
+	// spare. What is left to others then shrinks by spareDecrease, and else grows
+	// by spareIncrease.
 	tightFrom     = 0.25
 	spareDecrease = 0.8
 	spareIncrease = 0.01
--- a/internal/core/dispatch/firsttoken.go
+++ b/internal/core/dispatch/firsttoken.go
@@ -22,7 +22,8 @@
 	maxPerToken = 400 * time.Microsecond
 )
 
-// The defaults of a server that was not measured yet.
+// The defaults of a server that was not measured yet: what a middling engine or
+// plain service takes when idle. The first measurements replace them.
 const (
 	defaultEngineBase = 40 * time.Millisecond
 	defaultPerToken   = 16 * time.Microsecond
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -141,24 +141,24 @@
 	failing := p.leastFailing(now)
 	p.see(work)
 	terms.spare, terms.queue = p.spare, p.queue(work)
-	var best, any Choice
+	var best, cheapest Choice
 	for _, server := range p.servers {
 		if !server.takes(now, work) {
 			continue
 		}
 		choice := p.weigh(now, work, server, &homes, &terms, failing)
-		if any.Server == nil || choice.cost < any.cost {
-			any = choice
+		if cheapest.Server == nil || choice.cost < cheapest.cost {
+			cheapest = choice
 		}
 		if (best.Server == nil || choice.cost < best.cost) && terms.admit(choice, work) {
 			best = choice
 		}
 	}
-	if any.Server != nil && terms.Overuse <= 1 && !terms.Always {
-		p.feelLoad(any)
+	if cheapest.Server != nil && terms.Overuse <= 1 && !terms.Always {
+		p.feelLoad(cheapest)
 	}
 	if best.Server == nil {
-		return any, false
+		return cheapest, false
 	}
 	return best, true
 }
