Tell a pause from an overload

Ruled out: too many calls; there was one.

Change: a lateness of a second or more is a pause and says nothing, and three late measurements in a row are needed.

--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -11,6 +11,12 @@
 	// lagging is the lateness of a timer from which the daemon counts as
 	// overloaded: about the time that a call may wait for room.
 	lagging = 60 * time.Millisecond
+	// paused is the lateness from which the process itself stood still: what waits
+	// after that is no sign of more work than it can do.
+	paused = time.Second
+	// lateInARow is the number of late measurements that show an overload: one may
+	// be the collector's or another process's.
+	lateInARow = 3
 	// increase is what one late measurement adds to the part that is turned away,
 	// decrease what one in time takes off it: the part grows within half a second
 	// and shrinks within three.
@@ -25,15 +31,19 @@
 // every call that it still serves is late, or runs after its caller has left.
 type Shedding struct {
 	part float64
+	late int
 }
 
 // Measured takes the lateness of a timer.
 func (s *Shedding) Measured(late time.Duration) {
-	if late >= lagging {
-		s.part = min(most, s.part+increase)
+	if late < lagging || late >= paused {
+		s.late = 0
+		s.part = max(0, s.part-decrease)
 		return
 	}
-	s.part = max(0, s.part-decrease)
+	if s.late++; s.late >= lateInARow {
+		s.part = min(most, s.part+increase)
+	}
 }
 
 // Part returns the part of the requests to turn away, from 0 to 1.
