Grow the shed part more slowly

Cause: with three late measurements needed, steps of a tenth overshot: only 0.57 of the processor time was used in TestSheddingBoundsTheLag (bound 0.6). Change: steps of 0.06.

--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -18,9 +18,9 @@
 	// be the collector's or another process's.
 	lateInARow = 3
 	// increase is what one late measurement adds to the part that is turned away,
-	// decrease what one in time takes off it: the part grows within half a second
+	// decrease what one in time takes off it: the part grows within a second
 	// and shrinks within three.
-	increase = 0.1
+	increase = 0.06
 	decrease = 0.015
 	// most leaves some requests in, so that the end of the overload is seen.
 	most = 0.95
