Ask a suspect once more before it is declared dead

Silent sessions are replaced about 2.5 s after the suspicion, which ends at 3 s; the round of probes asks one suspect a second at random, so its answer could come after the death. A daemon that learned of a suspicion from an answer kept its refutation until its own next probe.

Ruled out: the session layer (sessions were open before the deadline).

Change: a suspect is probed when its session opens, and once more at its deadline, with the time of an ack to answer; a refutation is told at once to the one whose answer held the suspicion.

--- a/internal/app/cluster/messages.go
+++ b/internal/app/cluster/messages.go
@@ -16,9 +16,11 @@
 	transport.Handle(ports.KindProbeRequest, func() ports.Message { return &ports.ProbeRequest{} }, m.handleProbeRequest)
 }
 
-// handleSession probes a daemon whose session was lost at once.
+// handleSession probes a daemon at once whose session was lost, or a suspect
+// whose session was opened.
 func (m *Manager) handleSession(peer ports.DaemonID, up bool) {
 	if up {
+		m.advance(func(now time.Time) []membership.Envelope { return m.table.Reached(peer, now) })
 		return
 	}
 	m.advance(func(now time.Time) []membership.Envelope { return m.table.Doubt(peer, now) })
--- a/internal/core/membership/handle.go
+++ b/internal/core/membership/handle.go
@@ -31,26 +31,32 @@
 	if target == "" {
 		target = from
 	}
+	refutation := t.refutation
 	t.heard(target, ack.Incarnation, ack.Refutation, now)
 	t.applyAll(ack.Updates, now)
 	t.compare(from, ack.NotLive)
+	var out []Envelope
+	if t.refutation != refutation {
+		// The sender's suspicion may end before it is probed in turn.
+		out = append(out, t.probe(from, now))
+	}
 	if probe, ok := t.sent[ack.Sequence]; ok && probe.target == target {
 		delete(t.sent, ack.Sequence)
-		return nil
+		return out
 	}
 	probe, ok := t.relayed[ack.Sequence]
 	if !ok || probe.target != target {
-		return nil
+		return out
 	}
 	delete(t.relayed, ack.Sequence)
-	return []Envelope{{To: probe.origin, Message: &ports.ProbeAck{
+	return append(out, Envelope{To: probe.origin, Message: &ports.ProbeAck{
 		Sequence:    probe.sequence,
 		Target:      target,
 		Incarnation: ack.Incarnation,
 		Refutation:  ack.Refutation,
 		Updates:     t.updatesFor(probe.origin),
 		NotLive:     t.notLiveDigest(),
-	}}}
+	}})
 }
 
 // HandleProbeRequest probes a daemon for another one.
--- a/internal/core/membership/member.go
+++ b/internal/core/membership/member.go
@@ -20,6 +20,8 @@
 	state       ports.MemberState
 	// deadline is when a suspect is declared dead.
 	deadline time.Time
+	// lastProbed says that a suspect was probed once more at its deadline.
+	lastProbed bool
 	// changed is when the state was last set or the VM list dropped the member.
 	changed time.Time
 }
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -332,3 +332,59 @@
 		t.Errorf("%d daemons live, want the 2 of the list", live)
 	}
 }
+
+// Sessions that fell silent are replaced shortly before the suspicion ends. The
+// daemons behind them run and must not be declared dead.
+func TestSuspectWhoseConnectionsRecoverBeforeTheDeadlineIsKept(t *testing.T) {
+	config := DefaultConfig()
+	for seed := range uint64(40) {
+		f := newFleet(3, seed)
+		f.run(settle + time.Duration(seed%10)*testTick)
+		f.lost = func(_, _ ports.DaemonID) bool { return true }
+		suspected := false
+		for !suspected {
+			f.run(testTick)
+			for _, table := range f.tables {
+				suspected = suspected || len(table.selectMembers((*member).suspected)) > 0
+			}
+		}
+		f.run(config.SuspicionTimeout - 3*testTick)
+		f.lost = func(_, _ ports.DaemonID) bool { return false }
+		for range 50 {
+			f.run(testTick)
+			if deaths := f.deaths(); deaths > 0 {
+				t.Fatalf("seed %d: %d beliefs in the death of daemons that answer again", seed, deaths)
+			}
+		}
+		mustConverge(t, f, f.ids(), time.Second)
+	}
+}
+
+// A daemon that learns of a suspicion tells the one that holds it at once.
+func TestSuspicionIsRefutedAtOnce(t *testing.T) {
+	f := newFleet(2, 1)
+	f.run(settle)
+	suspecter, suspect := f.tables["vm-000"], f.tables["vm-001"]
+	suspecter.suspect("vm-001", f.now)
+	f.post("vm-001", []Envelope{suspect.probe("vm-000", f.now)})
+	f.deliver()
+	if state, _ := suspecter.State("vm-001"); state != ports.MemberAlive {
+		t.Errorf("the suspect is believed %s after its probe was answered", state)
+	}
+}
+
+// The session with a suspect is the way on which it can refute.
+func TestSuspectIsProbedWhenItsSessionOpens(t *testing.T) {
+	f := newFleet(2, 1)
+	f.run(settle)
+	table := f.tables["vm-000"]
+	if out := table.Reached("vm-001", f.now); len(out) != 0 {
+		t.Errorf("a daemon that isn't suspected got %d probes", len(out))
+	}
+	table.suspect("vm-001", f.now)
+	f.post("vm-000", table.Reached("vm-001", f.now))
+	f.deliver()
+	if state, _ := table.State("vm-001"); state != ports.MemberAlive {
+		t.Errorf("the suspect is believed %s after its session opened", state)
+	}
+}
--- a/internal/core/membership/probing.go
+++ b/internal/core/membership/probing.go
@@ -53,7 +53,7 @@
 	var out []Envelope
 	out = append(out, t.checkSent(now)...)
 	t.checkRelayed(now)
-	t.checkSuspects(now)
+	out = append(out, t.checkSuspects(now)...)
 	if !now.Before(t.nextProbe) {
 		t.nextProbe = now.Add(t.config.ProbePeriod)
 		out = append(out, t.probeRound(now)...)
@@ -118,16 +118,26 @@
 	t.set(m, claim, now)
 }
 
-func (t *Table) checkSuspects(now time.Time) {
+// checkSuspects declares suspects dead that let their time pass and a last probe
+// unanswered. Silent connections are replaced at about the same time as a
+// suspicion ends, and the round of probes may not meet the suspect in between.
+func (t *Table) checkSuspects(now time.Time) []Envelope {
+	var out []Envelope
 	for _, id := range t.selectMembers((*member).suspected) {
 		m := t.members[id]
-		if now.Before(m.deadline) {
-			continue
+		switch {
+		case now.Before(m.deadline):
+		case !m.lastProbed:
+			m.lastProbed = true
+			m.deadline = now.Add(t.config.AckTimeout)
+			out = append(out, t.probe(id, now))
+		default:
+			claim := m.update()
+			claim.State = ports.MemberDead
+			t.set(m, claim, now)
 		}
-		claim := m.update()
-		claim.State = ports.MemberDead
-		t.set(m, claim, now)
 	}
+	return out
 }
 
 // suspicionTimeout grows with the logarithm of the fleet, as the way of a
@@ -179,6 +189,16 @@
 	return []Envelope{t.probe(id, now)}
 }
 
+// Reached probes a suspect whose session was just opened at once, since the
+// probes before it may have been lost with the session that it replaces.
+func (t *Table) Reached(id ports.DaemonID, now time.Time) []Envelope {
+	m, ok := t.members[id]
+	if !ok || !m.suspected() {
+		return nil
+	}
+	return []Envelope{t.probe(id, now)}
+}
+
 // awaits says whether a probe of the member waits for its answer.
 func (t *Table) awaits(id ports.DaemonID) bool {
 	for _, probe := range t.sent {
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -150,6 +150,7 @@
 	news := m.incarnation != 0 || !wasLive || claim.State != ports.MemberAlive
 	m.incarnation, m.refutation, m.state = claim.Incarnation, claim.Refutation, claim.State
 	m.changed = now
+	m.lastProbed = false
 	if m.state == ports.MemberSuspect {
 		m.deadline = now.Add(t.suspicionTimeout())
 		if !m.listed && m.located {
