Ask whether the caller hung up before a call is sent

The daemon was late with everything: net/http cancels the context only when another goroutine has read the end of the connection, and that had not had its turn.

Ruled out: the deadline that is sent on (the engine itself declined the call).

Change: the sink of an answer asks the kernel just before the call is sent, without reading from the connection.

Before: TestCallWhoseCallerHungUpIsNotSent fails, one run. After: it passes; one system call more for each call that is sent.

--- a/internal/adapters/callerhttp/connections.go
+++ b/internal/adapters/callerhttp/connections.go
@@ -25,7 +25,10 @@
 	shown tally.Gauge
 }
 
-type overLimitKey struct{}
+type (
+	overLimitKey struct{}
+	connKey      struct{}
+)
 
 func newConnectionGauge(limit int, shown tally.Gauge) *connectionGauge {
 	return &connectionGauge{limit: int64(limit), shown: shown}
@@ -44,7 +47,8 @@
 	return float64(g.open.Load()) > max(crowdedPart*float64(g.limit), leastCrowded)
 }
 
-func (g *connectionGauge) connContext(ctx context.Context, _ net.Conn) context.Context {
+func (g *connectionGauge) connContext(ctx context.Context, conn net.Conn) context.Context {
+	ctx = context.WithValue(ctx, connKey{}, conn)
 	if g.add(1) <= g.limit {
 		return ctx
 	}
@@ -57,6 +61,12 @@
 	}
 }
 
+// connOf returns the connection of a request, or nil.
+func connOf(ctx context.Context) net.Conn {
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	return conn
+}
+
 func overLimit(ctx context.Context) bool {
 	return ctx.Value(overLimitKey{}) != nil
 }
--- a/internal/adapters/callerhttp/routes.go
+++ b/internal/adapters/callerhttp/routes.go
@@ -117,7 +117,7 @@
 func (s *Server) execute(w http.ResponseWriter, r *http.Request, call *ports.Call) {
 	s.open.add(call)
 	defer s.open.remove(call)
-	sink := newSink(w, func(header http.Header) { s.dialect.Mark(header, call.ID) })
+	sink := newSink(w, connOf(r.Context()), func(header http.Header) { s.dialect.Mark(header, call.ID) })
 	result := s.executor.Execute(r.Context(), call, sink)
 	if result.Refusal == nil {
 		return
--- a/internal/adapters/callerhttp/sink.go
+++ b/internal/adapters/callerhttp/sink.go
@@ -1,6 +1,7 @@
 package callerhttp
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -17,12 +18,14 @@
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	// mark sets the daemon's own fields of the answer's header.
-	mark  func(http.Header)
+	mark func(http.Header)
+	// conn is the caller's connection.
+	conn  net.Conn
 	begun bool
 }
 
-func newSink(w http.ResponseWriter, mark func(http.Header)) *sink {
-	return &sink{writer: w, controller: http.NewResponseController(w), mark: mark}
+func newSink(w http.ResponseWriter, conn net.Conn, mark func(http.Header)) *sink {
+	return &sink{writer: w, controller: http.NewResponseController(w), conn: conn, mark: mark}
 }
 
 // Begin implements ports.AnswerSink.
@@ -53,6 +56,11 @@
 	return s.begun
 }
 
+// Gone implements ports.AnswerSink.
+func (s *sink) Gone() bool {
+	return hungUp(s.conn)
+}
+
 func (s *sink) flush() error {
 	if err := s.controller.Flush(); err != nil {
 		return eris.Wrap(err, "flush to the caller")
--- a/internal/app/execution/manager_test.go
+++ b/internal/app/execution/manager_test.go
@@ -91,6 +91,7 @@
 
 // sink collects an answer.
 type sink struct {
+	gone   bool
 	status int
 	body   []byte
 }
@@ -107,6 +108,8 @@
 
 func (s *sink) Begun() bool { return s.status != 0 }
 
+func (s *sink) Gone() bool { return s.gone }
+
 func quietLogger() *log.Logger {
 	return &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
 }
@@ -222,3 +225,17 @@
 		t.Error("an unknown call is explained")
 	}
 }
+
+// A daemon that is late with its work reads calls whose callers have hung up long
+// ago, before the context knows.
+func TestCallWhoseCallerHungUpIsNotSent(t *testing.T) {
+	backend, broker := &fakeBackend{}, &fakeBroker{}
+	manager := newTestManager(backend, broker)
+	result := manager.Execute(context.Background(), newCall("r1", true), &sink{gone: true})
+	if result.Refusal == nil || result.Refusal.Reason != outcome.ReasonCallerGone || result.End != outcome.NotRun {
+		t.Errorf("ended with %+v", result)
+	}
+	if backend.runs() != 0 || broker.released != broker.taken {
+		t.Errorf("%d runs, %d of %d slots released", backend.runs(), broker.released, broker.taken)
+	}
+}
--- a/internal/app/execution/run.go
+++ b/internal/app/execution/run.go
@@ -78,7 +78,7 @@
 	server := slot.Server()
 	r.life.add(time.Now(), "slot", slotDetail(server, slot.Origin()))
 	r.manager.tell.placed(r.call, server, slot.Origin())
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || r.sink.Gone() {
 		slot.Release(ports.RunReport{})
 		return ports.RunResult{}, gaveUp(ctx)
 	}
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -109,6 +109,9 @@
 	Write(part []byte) error
 	// Begun says whether Begin was called: the caller may have had a byte.
 	Begun() bool
+	// Gone asks whether the caller has hung up. The context of the call says so
+	// only once another goroutine had its turn to notice.
+	Gone() bool
 }
 
 // Executor carries out calls.
