Tell other daemons which listed servers have lapsed

The logs show the server gone at 28.4 s, back in list version 197 from another daemon, and gone at 34.1 s. A daemon that had just regained the platform kept removed entries for the 2.3 s in which lapsed ones may return, and told its list without saying so; those that adopted it kept the servers until the next version.

Ruled out: a late watch (all followers had the removal within 0.4 s).

Change: a list that is told names the lapsed servers and how long they may return.

Before: TestLapsedEntryEndsAtThoseThatWereToldToo fails (2 servers, want 1). After: it passes.

--- a/internal/core/serverlist/table.go
+++ b/internal/core/serverlist/table.go
@@ -97,8 +97,17 @@
 	delete(t.servers, name)
 }
 
+// Snapshot returns the table for other daemons.
+func (t *Table) Snapshot(now time.Time) ports.ListPush {
+	list := ports.ListPush{Version: t.version, Servers: t.Servers(now)}
+	for name, until := range t.missing {
+		list.Lapsed = append(list.Lapsed, ports.LapsedServer{Name: name, ForMillis: until.Sub(now).Milliseconds()})
+	}
+	return list
+}
+
 // Adopt replaces the table by a newer one of another daemon.
-func (t *Table) Adopt(list ports.ListPush) {
+func (t *Table) Adopt(now time.Time, list ports.ListPush) {
 	if list.Version <= t.version {
 		return
 	}
@@ -108,6 +117,9 @@
 	for _, vm := range list.Servers {
 		t.servers[vm.Name] = vm
 	}
+	for _, lapsed := range list.Lapsed {
+		t.missing[lapsed.Name] = now.Add(min(time.Duration(lapsed.ForMillis)*time.Millisecond, LapseGrace))
+	}
 }
 
 // PlatformAnswers notes whether the platform answers.
--- a/internal/core/serverlist/table_test.go
+++ b/internal/core/serverlist/table_test.go
@@ -68,10 +68,10 @@
 // A list that another daemon brought is not undone by an older answer.
 func TestOlderAnswersChangeNothing(t *testing.T) {
 	table := tableOf("a")
-	table.Adopt(ports.ListPush{Version: 30, Servers: []ports.VM{{Name: "a"}, {Name: "c"}}})
+	table.Adopt(start, ports.ListPush{Version: 30, Servers: []ports.VM{{Name: "a"}, {Name: "c"}}})
 	table.Replace(start, 20, []Change{entry("a")})
 	table.Apply(start, 25, []Change{{Name: "c", Removed: true}})
-	table.Adopt(ports.ListPush{Version: 29})
+	table.Adopt(start, ports.ListPush{Version: 29})
 	if got := len(table.Servers(start)); got != 2 {
 		t.Errorf("%d servers, want 2", got)
 	}
@@ -79,3 +79,20 @@
 		t.Errorf("version %d, want 30", version)
 	}
 }
+
+// Load pattern: around an outage one daemon still waits for an entry that its
+// server removed for good, and tells its list to the others.
+func TestLapsedEntryEndsAtThoseThatWereToldToo(t *testing.T) {
+	follower := tableOf("a", "b")
+	follower.PlatformAnswers(start, false)
+	follower.PlatformAnswers(start, true)
+	follower.Replace(start, 20, []Change{entry("a")})
+	told := NewTable()
+	told.Adopt(start.Add(time.Second), follower.Snapshot(start.Add(time.Second)))
+	if got := len(told.Servers(start.Add(LapseGrace - time.Millisecond))); got != 2 {
+		t.Errorf("%d servers while the entry may return, want 2", got)
+	}
+	if got := len(told.Servers(start.Add(LapseGrace + time.Millisecond))); got != 1 {
+		t.Errorf("%d servers after that, want 1", got)
+	}
+}
--- a/internal/ports/dispatch_messages.go
+++ b/internal/ports/dispatch_messages.go
@@ -67,6 +67,16 @@
 type ListPush struct {
 	Version uint64 `cbor:"1,keyasint"`
 	Servers []VM   `cbor:"2,keyasint"`
+	// Lapsed are those of the servers whose entries vanished around an outage of
+	// the platform: they are gone unless they return.
+	Lapsed []LapsedServer `cbor:"3,keyasint,omitempty"`
+}
+
+// LapsedServer is a server whose entry may still return.
+type LapsedServer struct {
+	Name VMName `cbor:"1,keyasint"`
+	// ForMillis is the time in milliseconds for which it may.
+	ForMillis int64 `cbor:"2,keyasint"`
 }
 
 // Kind implements Message.
