Measure overload by the wait for the processor; close connections unread

The runtime lets a timer's goroutine run before those that wait already, so that the lateness of a timer shows next to nothing of an overload.

Ruled out: the thresholds (the lateness stayed under them); the peers.

Change: the runtime's histogram of scheduling latencies is measured, eight waits for a call; connections are closed unread when their caller has left, far above the limit, and under heavy overload; refused callers come back at once, since the balancer leads them to another daemon; what net/http says of connections goes to the bounded log.

TestSchedulingLagShowsWhatWaitsForTheProcessor fails with the timer alone.

--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"sync"
@@ -35,9 +36,6 @@
 	// may take, at connectionMemory bytes each for buffers and stacks.
 	memoryForCallers = 0.4
 	connectionMemory = 24 << 10
-	// keepAlivePeriod is the time between two TCP probes of a quiet
-	// connection.
-	keepAlivePeriod = 15 * time.Second
 	// stoppingRetryAfter is when a caller that met a stop should come back: the
 	// balancer has another daemon for it.
 	stoppingRetryAfter = 50 * time.Millisecond
@@ -57,6 +55,7 @@
 	refusals      *metrics.Counters
 	logger        *log.Logger
 	lines         *logging.Limiter
+	scope         tally.Scope
 	connections   *connectionGauge
 	// keepAlive tells callers how long a connection without a request is kept.
 	keepAlive string
@@ -88,8 +87,9 @@
 		refusals:      metrics.NewCounters(scope, "refusals", "reason", "run"),
 		logger:        logger,
 		lines:         logging.NewLimiter(logger),
+		scope:         scope,
 		open:          newOpenCalls(),
-		pressure:      newPressure(),
+		pressure:      newPressure(scope),
 		connections:   newConnectionGauge(maxConnections(s.Limits), scope.Gauge("connections")),
 		keepAlive:     fmt.Sprintf("timeout=%d", int(s.Limits.Idle.Value().Seconds())),
 	}
@@ -100,6 +100,7 @@
 		IdleTimeout:       s.Limits.Idle.Value() + idleSlack,
 		ConnContext:       server.connections.connContext,
 		ConnState:         server.connections.connState,
+		ErrorLog:          stdlog.New(&httpErrors{lines: server.lines, logger: logger}, "", 0),
 	}
 	return server
 }
@@ -120,12 +121,13 @@
 // Run starts to listen and serves in the background. It fails when the address
 // can't be listened on, or with *tlsfiles.KeyPairError.
 func (s *Server) Run() error {
-	config := net.ListenConfig{KeepAlive: keepAlivePeriod}
-	listener, err := config.Listen(context.Background(), "tcp", s.address)
+	// The doorkeeper sets the probes of those connections that it keeps.
+	config := net.ListenConfig{KeepAlive: -1}
+	inner, err := config.Listen(context.Background(), "tcp", s.address)
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers on %s", s.address)
 	}
-	listener, err = tlsfiles.Secure(listener, s.keyPair, s.logger)
+	listener, err := tlsfiles.Secure(newDoorkeeper(inner, s, s.scope), s.keyPair, s.logger)
 	if err != nil {
 		return err
 	}
