Let an overloaded daemon leave the rotation; make its lateness a setting

And a lateness of 60 ms is a large part of targets of 300 to 500 ms.

Ruled out: refusals that lead callers elsewhere; the balancer keeps to the daemon while that is in rotation.

--- a/internal/adapters/callerhttp/doorkeeper_test.go
+++ b/internal/adapters/callerhttp/doorkeeper_test.go
@@ -121,3 +121,18 @@
 		t.Errorf("%d connections were counted", got)
 	}
 }
+
+func TestDaemonOutOfRotationIsNotReady(t *testing.T) {
+	_, server, _ := newTestServer(t, executorFunc(answer))
+	if reason := server.NotReady(); reason != "" {
+		t.Errorf("not ready in calm: %s", reason)
+	}
+	server.pressure.setOut(true, 0.9, time.Second)
+	if server.NotReady() == "" {
+		t.Error("ready while out of rotation")
+	}
+	server.pressure.setOut(false, 0, 0)
+	if reason := server.NotReady(); reason != "" {
+		t.Errorf("not ready after it: %s", reason)
+	}
+}
--- a/internal/adapters/callerhttp/pressure.go
+++ b/internal/adapters/callerhttp/pressure.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
 	"hawthornstream/internal/core/outcome"
@@ -28,19 +29,27 @@
 	// part is the part of the requests to turn away, as float64 bits.
 	part atomic.Uint64
 	stop chan struct{}
+	// out says that the balancer should lead new connections elsewhere.
+	out atomic.Bool
+	// allowed is how late a call may be on account of the processor.
+	allowed time.Duration
+	logger  *log.Logger
 	// lagShown and partShown are the metrics.
 	lagShown, partShown tally.Gauge
 }
 
-func newPressure(scope tally.Scope) *pressure {
+func newPressure(allowed time.Duration, scope tally.Scope, logger *log.Logger) *pressure {
 	return &pressure{
 		stop:     make(chan struct{}),
+		allowed:  allowed,
+		logger:   logger,
 		lagShown: scope.Gauge("lag_seconds"), partShown: scope.Gauge("turned_away_part"),
 	}
 }
 
 func (p *pressure) run() {
-	var shedding overload.Shedding
+	var rotation overload.Rotation
+	shedding := overload.NewShedding(p.allowed)
 	ticker := time.NewTicker(overload.Period)
 	defer ticker.Stop()
 	before := time.Now()
@@ -53,6 +62,7 @@
 			now := time.Now()
 			late := max(now.Sub(before)-overload.Period, turnsOfACall*lag.mean())
 			shedding.Measured(late)
+			p.setOut(rotation.Out(now, shedding.Part()), shedding.Part(), late)
 			p.lagShown.Update(late.Seconds())
 			p.partShown.Update(shedding.Part())
 			p.part.Store(math.Float64bits(shedding.Part()))
@@ -61,6 +71,17 @@
 	}
 }
 
+func (p *pressure) setOut(out bool, part float64, late time.Duration) {
+	if p.out.Swap(out) == out {
+		return
+	}
+	event := "rotation-joined"
+	if out {
+		event = "rotation-left"
+	}
+	p.logger.Info().Str("event", event).Float64("turnedAway", part).Dur("late", late).Msg("")
+}
+
 // refused returns the part of the requests that is turned away.
 func (p *pressure) refused() float64 {
 	return math.Float64frombits(p.part.Load())
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -89,7 +89,7 @@
 		lines:         logging.NewLimiter(logger),
 		scope:         scope,
 		open:          newOpenCalls(),
-		pressure:      newPressure(scope),
+		pressure:      newPressure(s.Limits.ProcessorWait.Value(), scope, logger),
 		connections:   newConnectionGauge(maxConnections(s.Limits), scope.Gauge("connections")),
 		keepAlive:     fmt.Sprintf("timeout=%d", int(s.Limits.Idle.Value().Seconds())),
 	}
@@ -152,6 +152,15 @@
 	s.closing.Store(true)
 }
 
+// NotReady returns why callers should get no new connection to this daemon, or
+// "".
+func (s *Server) NotReady() string {
+	if s.pressure.out.Load() {
+		return "more requests than processor time"
+	}
+	return ""
+}
+
 // Connected says whether callers have connections open.
 func (s *Server) Connected() bool {
 	return s.connections.open.Load() > 0
--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -69,6 +69,7 @@
 			callerhttp.New,
 			provideLifecycle,
 			fx.Annotate(readiness, fx.ResultTags(`group:"readiness"`)),
+			fx.Annotate(processorReadiness, fx.ResultTags(`group:"readiness"`)),
 		),
 		fx.Invoke(reportRuntime, serveCallers),
 		fx.Populate(&d.lifecycle),
@@ -179,6 +180,10 @@
 	return ports.ReadinessCheck{Name: "lifecycle", Reason: m.NotReady}
 }
 
+func processorReadiness(callers *callerhttp.Server) ports.ReadinessCheck {
+	return ports.ReadinessCheck{Name: "processor", Reason: callers.NotReady}
+}
+
 func serveCallers(lc fx.Lifecycle, server *callerhttp.Server) {
 	lc.Append(fx.StartHook(server.Run))
 }
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -8,9 +8,6 @@
 const (
 	// Period is the time between two measurements of the lag.
 	Period = 50 * time.Millisecond
-	// lagging is the lateness of a timer from which the daemon counts as
-	// overloaded: about the time that a call may wait for room.
-	lagging = 60 * time.Millisecond
 	// paused is the lateness from which the process itself may have stood still,
 	// which says nothing unless the next measurements are late too.
 	paused = time.Second
@@ -31,15 +28,21 @@
 // callers of one workspace all reach one daemon, several hundred a second, and
 // every call that it still serves is late, or runs after its caller has left.
 type Shedding struct {
-	part float64
+	allowed time.Duration
+	part    float64
 	// late counts the late measurements in a row, without a pause before them.
 	late        int
 	afterAPause bool
 }
 
-// Measured takes the lateness of a timer.
+// NewShedding returns a daemon that may be late by the given time.
+func NewShedding(allowed time.Duration) *Shedding {
+	return &Shedding{allowed: allowed}
+}
+
+// Measured takes how late the daemon is with its work.
 func (s *Shedding) Measured(late time.Duration) {
-	if late < lagging {
+	if late < s.allowed {
 		s.late, s.afterAPause = 0, false
 		s.part = max(0, s.part-decrease*Period.Seconds())
 		return
@@ -51,7 +54,7 @@
 	if s.late++; s.late < lateInARow {
 		return
 	}
-	urgent := min(float64(late)/float64(lagging), mostUrgent)
+	urgent := min(float64(late)/float64(s.allowed), mostUrgent)
 	since := min(Period+late, time.Second)
 	s.part = min(most, s.part+increase*urgent*since.Seconds())
 }
--- a/internal/core/overload/overload_test.go
+++ b/internal/core/overload/overload_test.go
@@ -10,10 +10,13 @@
 // on to cost time, and turning a request away costs a little too.
 type process struct {
 	now, backlog, running float64
-	shedding              Shedding
+	shedding              *Shedding
 	measureAt             float64
 }
 
+// lagging is the lateness that is allowed in the tests.
+const lagging = 60 * time.Millisecond
+
 const (
 	step = 0.005
 	// streamsFor is the time in seconds over which half of a call's work is spread.
@@ -48,7 +51,7 @@
 func TestSheddingBoundsTheLag(t *testing.T) {
 	for _, arriving := range []float64{1.6, 3, 6} {
 		t.Run(fmt.Sprint(arriving), func(t *testing.T) {
-			var p process
+			p := process{shedding: NewShedding(lagging)}
 			atFirst, _ := p.run(3, arriving)
 			worst, served := p.run(60, arriving)
 			t.Logf("lag %.2f s at first, then up to %.2f s, %.2f served", atFirst, worst, served)
@@ -66,7 +69,7 @@
 }
 
 func TestNothingIsTurnedAwayInCalm(t *testing.T) {
-	var s Shedding
+	s := NewShedding(lagging)
 	for range 2 * lateInARow {
 		s.Measured(2 * lagging)
 	}
@@ -83,7 +86,7 @@
 
 // A process that was paused, or late once, is not overloaded.
 func TestPauseIsNoOverload(t *testing.T) {
-	var s Shedding
+	s := NewShedding(lagging)
 	for range 20 {
 		s.Measured(5 * time.Second)
 		s.Measured(2 * lagging)
@@ -97,7 +100,7 @@
 // A daemon that gets very much more than it can do is late by more than a second
 // at each measurement. That is no pause.
 func TestVeryLateInARowIsAnOverload(t *testing.T) {
-	var s Shedding
+	s := NewShedding(lagging)
 	for range lateInARow + 1 {
 		s.Measured(2 * paused)
 	}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -91,6 +91,7 @@
 			Connections:          4096,
 			Idle:                 configuration.Duration(2 * time.Minute),
 			ReceiveWithin:        configuration.Duration(10 * time.Second),
+			ProcessorWait:        configuration.Duration(200 * time.Millisecond),
 		},
 		Stop: Stop{
 			Within:   configuration.Duration(15 * time.Minute),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -121,6 +121,9 @@
 	// ReceiveWithin is the time in which a request must arrive whole. Default:
 	// 10s; 100ms to 10m.
 	ReceiveWithin configuration.Duration `json:"receiveWithin,omitempty" validate:"between=100ms 10m"`
+	// ProcessorWait is the time that a call may wait for the processor, its turns
+	// added up, before requests are turned away. Default: 200ms; 1ms to 10s.
+	ProcessorWait configuration.Duration `json:"processorWait,omitempty" validate:"between=1ms 10s"`
 	// Memory is what the process may use; the collector works harder well below
 	// it. Default: no limit; 16MiB to 1GiB.
 	Memory Size `json:"memory,omitempty" validate:"omitempty,between=16MiB 1GiB"`
