Serve the largest prompts too; leave the spare to those little above their share

Ruled out: the daemon's processor (nothing was turned away there for it).

Change: a call that is late on account of its own prompt may wait a tenth of the target behind others. What is left to a workspace above its share shrinks with the square of its overuse, not in proportion.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -11,7 +11,11 @@
 	// targetUse is the part of the target that the prediction may fill: a call
 	// that is only just in time is often late.
 	targetUse = 0.75
-	// plainTargets is the same for plain services, in targets.
+	// alwaysBehind is the part of the target for which an engine's call may wait
+	// behind others whatever its own prompt takes: the largest prompts take the
+	// whole target alone, and are worth as much for each token as others.
+	alwaysBehind = 0.1
+	// plainTargets is targetUse for plain services, in targets.
 	plainTargets = 2.0
 	// leastSpare and mostSpare bound the part of the time behind others that is
 	// left to workspaces far above their share.
@@ -29,10 +33,10 @@
 	// take is gone for seconds.
 	mostReserved = 0.25
 	// farAbove is the overuse from which a workspace gets less than those that
-	// are less above their share, in proportion, down to leastWeight; it leaves up
+	// are less above their share, by the square, down to leastWeight; it leaves up
 	// to reservedFarAbove more of the slots free.
 	farAbove         = 2.0
-	leastWeight      = 0.2
+	leastWeight      = 0.05
 	reservedFarAbove = 0.25
 	// patience is the part of the target for which a call waits for room.
 	patience = 0.125
@@ -63,7 +67,8 @@
 // weight makes workspaces that are above their share get alike: otherwise those
 // whose callers meet idle servers would get all there is to spare.
 func (t *Terms) weight() float64 {
-	return min(max(farAbove/t.Overuse, leastWeight), 1)
+	above := t.Overuse / farAbove
+	return min(max(1/(above*above), leastWeight), 1)
 }
 
 // allowed is the longest time to the first byte that is predicted for a call that
@@ -76,6 +81,15 @@
 	return time.Duration(targetUse * float64(w.Target))
 }
 
+// alwaysAllowed is the longest time behind others that is allowed to a call whose
+// own prompt makes it late.
+func (w *Work) alwaysAllowed() time.Duration {
+	if !w.Engine {
+		return 0
+	}
+	return time.Duration(alwaysBehind * float64(w.Target))
+}
+
 // feelLoad learns from the best place of a call within its share how much the
 // servers have to spare for workspaces above theirs: a queue that fills on their
 // account makes the others late.
@@ -94,14 +108,14 @@
 	if t.Always {
 		return true
 	}
-	allowed := work.allowed()
-	if t.Waited+choice.Expected > allowed {
+	behind := choice.Expected - choice.Alone
+	if t.Waited+choice.Expected > work.allowed() && t.Waited+behind > work.alwaysAllowed() {
 		return false
 	}
 	if t.Overuse <= 1 {
 		return true
 	}
-	return float64(choice.Expected-choice.Alone) <= max(t.spare*t.weight(), 2-t.Overuse)*t.queue
+	return float64(behind) <= max(t.spare*t.weight(), 2-t.Overuse)*t.queue
 }
 
 // usual remembers what calls of a pool are like: a queue is as long for a call
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -353,3 +353,49 @@
 		t.Error("the largest calls of a class wait behind less than the others")
 	}
 }
+
+// Load pattern: a tenth of the prompts is so large that reading one takes the
+// whole target. They are late wherever they run, and must not be turned away by
+// servers that take others behind the same queue.
+func TestLargestPromptsAreServedWhereOthersWait(t *testing.T) {
+	pool := enginePool(2, 64)
+	huge := draft("")
+	huge.SharedTokens, huge.OwnTokens = 0, 60_000
+	alone := choose(t, pool, start, huge, Terms{})
+	if alone.Alone < huge.Target {
+		t.Fatalf("the prompt takes %s of %s alone", alone.Alone, huge.Target)
+	}
+	fill := func(tokens int) {
+		for _, server := range pool.Servers() {
+			server.own = Load{Waiting: tokens}
+		}
+	}
+	fill(4_000)
+	choose(t, pool, start, huge, Terms{})
+	fill(25_000)
+	if choice, admitted := pool.Choose(start, huge, Terms{}); admitted {
+		t.Errorf("admitted behind %s of others", choice.Expected-choice.Alone)
+	}
+}
+
+// Load pattern: one workspace asks nine times its share at all daemons, another
+// not quite twice at a single one. What the servers have to spare goes to the
+// latter first, so that it doesn't get less than half of what it asks.
+func TestSpareGoesToThoseLittleAboveTheirShare(t *testing.T) {
+	work := draft("")
+	pool := enginePool(2, 64)
+	pool.see(work)
+	little, far := Terms{Overuse: 1.7}, Terms{Overuse: 9}
+	for _, terms := range []*Terms{&little, &far} {
+		terms.spare, terms.queue = mostSpare, pool.queue(work)
+	}
+	behind := func(part float64) Choice {
+		return Choice{Alone: 50 * time.Millisecond, Expected: 50*time.Millisecond + time.Duration(part*float64(work.allowed()))}
+	}
+	if !little.admit(behind(0.5), work) {
+		t.Error("a workspace little above its share finds no room")
+	}
+	if far.admit(behind(0.1), work) {
+		t.Error("a workspace far above its share may wait behind others")
+	}
+}
