Bound what libraries write, and keep answers out of it

Cause: net/http writes each answer that nobody asked for, with its first bytes, to standard error through the standard logger: past the bounded log, blocking on a full pipe, and with parts of answers in it.

Ruled out: a setting of the transport; it has none for this.

Change: the daemon takes over the standard logger's output: event `library-message`, 40 lines a second, the first 48 bytes.

Before: TestLibraryLinesAreBoundedAndHoldNoAnswer fails with the whole line kept. After: it passes.

--- a/cmd/hawthornstreamd/main.go
+++ b/cmd/hawthornstreamd/main.go
@@ -94,6 +94,7 @@
 	lines := logging.NewLines(stdout)
 	defer lines.Close(logCloseWithin)
 	logger := logging.New(lines, s.Log.Level)
+	logging.TakeLibraryLines(logger)
 	go reload(s, path, told.hangup, logger)
 	daemon, err := app.New(s, logger)
 	if err != nil {
