--- a/internal/adapters/callerhttp/doorkeeper_test.go
+++ b/internal/adapters/callerhttp/doorkeeper_test.go
@@ -11,10 +11,11 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// guarded is a server behind its doorkeeper.
-func guarded(t *testing.T) (*Server, string, tally.TestScope) {
+// guarded is a server behind its doorkeeper, with a limit of connections.
+func guarded(t *testing.T, limit int64) (*Server, string, tally.TestScope) {
 	t.Helper()
 	_, server, scope := newTestServer(t, executorFunc(answer))
+	server.connections.limit = limit
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -51,9 +52,8 @@
 // Load pattern: the callers of one workspace open several hundred connections a
 // second to one daemon, which has no time to read what they send.
 func TestOverloadedDaemonClosesNewConnectionsUnread(t *testing.T) {
-	server, address, scope := guarded(t)
 	// Connections that were closed just now may still count.
-	server.connections.limit = 64
+	server, address, scope := guarded(t, 64)
 	if status := sendOn(t, address); status != http.StatusOK {
 		t.Fatalf("got %d in calm", status)
 	}
@@ -76,7 +76,7 @@
 // Load pattern: callers hang up and come back faster than a late daemon notices,
 // until it has no descriptors left.
 func TestConnectionsFarAboveTheLimitAreClosedUnread(t *testing.T) {
-	server, address, scope := guarded(t)
+	server, address, scope := guarded(t, 2)
 	limit := int(math.Ceil((1 + aboveLimit) * float64(server.connections.limit)))
 	for range limit + 3 {
 		conn, err := net.Dial("tcp", address)
