Reuse kept connections for calls that may run only once

The announced Keep-Alive timeout of a server bounds the reuse for all calls. Opened and closed connections are counted by reason.

--- a/internal/adapters/backendhttp/client.go
+++ b/internal/adapters/backendhttp/client.go
@@ -7,6 +7,9 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
+	"hawthornstream/internal/adapters/metrics"
 	"hawthornstream/internal/ports"
 )
 
@@ -42,6 +45,8 @@
 // concurrent use.
 type Client struct {
 	transport *http.Transport
+	// opened and closedCounter count connections by openReason and closeReason.
+	opened, closedCounter *metrics.CounterVec
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the oldest first.
@@ -63,6 +68,9 @@
 	// reused is true once the connection was taken from the idle ones.
 	reused    bool
 	idleSince time.Time
+	// maxIdleTime is the time after which the idle connection is closed: the server
+	// may state a shorter one than idleTimeout.
+	maxIdleTime time.Duration
 	// uncounted is true once Client.openCount excludes the connection.
 	uncounted bool
 }
@@ -70,8 +78,9 @@
 // clientConnKey is the context key of the *clientConn that is being dialed.
 type clientConnKey struct{}
 
-// NewClient returns a client without open connections. The caller must call Close.
-func NewClient() *Client {
+// NewClient returns a client without open connections, which counts those that it
+// opens and closes in the scope. The caller must call Close.
+func NewClient(scope tally.Scope) *Client {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		Control: unacknowledgedTimeoutControl(unacknowledgedTimeout),
@@ -97,7 +106,14 @@
 			return tracked, nil
 		},
 	}
-	return &Client{transport: transport, idle: make(map[string][]*clientConn), openCount: make(map[string]int)}
+	scope = scope.SubScope("backend")
+	return &Client{
+		transport:     transport,
+		opened:        metrics.NewCounterVec(scope, "connections_opened", "reason"),
+		closedCounter: metrics.NewCounterVec(scope, "connections_closed", "reason"),
+		idle:          make(map[string][]*clientConn),
+		openCount:     make(map[string]int),
+	}
 }
 
 // Close closes the idle connections and waits for the cancellations in progress.
@@ -109,7 +125,7 @@
 	c.idle = make(map[string][]*clientConn)
 	c.mu.Unlock()
 	for _, conns := range idle {
-		c.closeConns(conns)
+		c.closeConns(conns, closeReasonClientClosed)
 	}
 	c.cancellations.Wait()
 }
@@ -128,7 +144,7 @@
 		c.idle[address] = usable
 	}
 	c.mu.Unlock()
-	c.closeConns(unusable)
+	c.closeConns(unusable, closeReasonIdleEnded)
 }
 
 func splitUsable(conns []*clientConn, now time.Time) (usable, unusable []*clientConn) {
@@ -142,15 +158,16 @@
 	return usable, unusable
 }
 
-func (c *Client) closeConns(conns []*clientConn) {
+func (c *Client) closeConns(conns []*clientConn, reason closeReason) {
 	for _, conn := range conns {
-		c.closeConn(conn)
+		c.closeConn(conn, reason)
 	}
 }
 
 // closeConn closes a connection and removes it from openCount.
-func (c *Client) closeConn(conn *clientConn) {
+func (c *Client) closeConn(conn *clientConn, reason closeReason) {
 	_ = conn.httpConn.Close()
+	c.closedCounter.Inc(string(reason))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.uncountLocked(conn)
@@ -170,21 +187,24 @@
 
 // usable reports whether an idle connection may carry another request.
 func (conn *clientConn) usable(now time.Time) bool {
-	return conn.httpConn.Err() == nil && now.Sub(conn.idleSince) < idleTimeout
+	return conn.httpConn.Err() == nil && now.Sub(conn.idleSince) < conn.maxIdleTime
 }
 
 // acquireConn returns an idle connection, or a new one if none is idle or
 // forceNew is set. At the limit, a new connection replaces the oldest idle one.
 // Errors are of type *ConnectError.
 func (c *Client) acquireConn(ctx context.Context, request *Request, forceNew bool) (*clientConn, error) {
+	reason := openReasonRequired
 	if !forceNew {
-		if conn := c.takeIdle(request.Address, time.Now()); conn != nil {
+		var conn *clientConn
+		if conn, reason = c.takeIdle(request, time.Now()); conn != nil {
 			return conn, nil
 		}
 	}
 	if !c.reserveConn(request.Address, request.MaxConnections) {
 		return nil, &ConnectError{Address: request.Address, Cause: &ConnectionLimitError{Limit: request.MaxConnections}}
 	}
+	c.opened.Inc(string(reason))
 	return c.dial(ctx, request.Address)
 }
 
@@ -208,43 +228,52 @@
 	c.mu.Unlock()
 	if oldest != nil {
 		_ = oldest.httpConn.Close()
+		c.closedCounter.Inc(string(closeReasonReplaced))
 	}
 	return true
 }
 
 // takeIdle removes the most recently used idle connection from the pool and
-// returns it, or nil if no idle one is usable. It closes the unusable ones that
-// it finds.
-func (c *Client) takeIdle(address string, now time.Time) *clientConn {
+// returns it, or nil and the reason for which a new one is needed. It closes the
+// unusable ones that it finds. Those that have been idle too long for the request
+// stay for other requests.
+func (c *Client) takeIdle(request *Request, now time.Time) (*clientConn, openReason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	conns := c.idle[address]
+	reason := openReasonNoneIdle
+	conns := c.idle[request.Address]
 	for len(conns) > 0 {
 		last := len(conns) - 1
 		conn := conns[last]
+		if request.MaxIdleTime > 0 && now.Sub(conn.idleSince) >= request.MaxIdleTime {
+			return nil, openReasonIdleTooLong
+		}
 		conns[last] = nil
 		conns = conns[:last]
-		c.idle[address] = conns
-		if conn.usable(now) {
+		c.idle[request.Address] = conns
+		if conn.usable(now) && (request.MaxIdleTime == 0 || conn.tracked.isQuiet()) {
 			conn.reused = true
-			return conn
+			return conn, reason
 		}
 		c.uncountLocked(conn)
 		_ = conn.httpConn.Close()
+		c.closedCounter.Inc(string(closeReasonIdleEnded))
+		reason = openReasonIdleEnded
 	}
-	delete(c.idle, address)
-	return nil
+	delete(c.idle, request.Address)
+	return nil, reason
 }
 
 // dial opens a connection that reserveConn has counted. Errors are of type
 // *ConnectError.
 func (c *Client) dial(ctx context.Context, address string) (*clientConn, error) {
-	conn := &clientConn{address: address}
+	conn := &clientConn{address: address, maxIdleTime: idleTimeout}
 	httpConn, err := c.transport.NewClientConn(context.WithValue(ctx, clientConnKey{}, conn), "http", address)
 	if err != nil {
 		c.mu.Lock()
 		c.uncountLocked(conn)
 		c.mu.Unlock()
+		c.closedCounter.Inc(string(closeReasonNotConnected))
 		return nil, &ConnectError{Address: address, Cause: err}
 	}
 	conn.httpConn = httpConn
@@ -257,8 +286,11 @@
 func (c *Client) putOrCloseIdle(conn *clientConn, maxIdle int) {
 	now := time.Now()
 	conn.idleSince = now
-	if !conn.usable(now) || !c.tryPutIdle(conn, maxIdle) {
-		c.closeConn(conn)
+	switch {
+	case !conn.usable(now):
+		c.closeConn(conn, closeReasonByServer)
+	case !c.tryPutIdle(conn, maxIdle):
+		c.closeConn(conn, closeReasonIdleLimit)
 	}
 }
 
--- a/internal/adapters/backendhttp/conn.go
+++ b/internal/adapters/backendhttp/conn.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"hawthornstream/internal/adapters/tcpstate"
 )
 
 // trackedConn records whether a write of the current request was started, and
@@ -80,6 +82,14 @@
 	return time.Duration(now.UnixNano() - c.lastReadNanos.Load())
 }
 
+// isQuiet reports whether the connection is open and has no bytes to read, as far
+// as the kernel knows. A reset or an extra answer may have arrived that the HTTP
+// client has not read yet.
+func (c *trackedConn) isQuiet() bool {
+	state := tcpstate.Peek(c.Conn)
+	return state == tcpstate.Quiet || state == tcpstate.Unknown
+}
+
 // closeAsSilent closes the connection because it received nothing in time.
 func (c *trackedConn) closeAsSilent() {
 	c.closedAsSilent.Store(true)
--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -31,6 +31,10 @@
 	// ForceNewConnection prevents the reuse of an idle connection, which may have
 	// broken unnoticed.
 	ForceNewConnection bool
+	// MaxIdleTime is set for a request that must not be sent twice. A connection is
+	// reused for it only if it was idle for less than this time and the kernel
+	// reports it as open just before. Zero means no such conditions.
+	MaxIdleTime time.Duration
 	// SilenceTimeout is the time without a received byte after which
 	// ShouldCloseSilent is called; zero disables this check.
 	SilenceTimeout time.Duration
@@ -80,7 +84,7 @@
 func (c *Client) roundTrip(ctx context.Context, conn *clientConn, request *Request) (*Exchange, *ExchangeError) {
 	httpRequest, err := newHTTPRequest(ctx, request)
 	if err != nil {
-		c.closeConn(conn)
+		c.closeConn(conn, closeReasonAborted)
 		return nil, &ExchangeError{Address: request.Address, Cause: err}
 	}
 	conn.tracked.beginRequest(time.Now())
@@ -181,9 +185,10 @@
 	e.watchdog.stop()
 	_ = e.Response.Body.Close()
 	if e.conn.httpConn.Available() == 0 {
-		e.client.closeConn(e.conn)
+		e.client.closeConn(e.conn, closeReasonByServer)
 		return
 	}
+	e.conn.maxIdleTime = maxIdleTimeOf(e.Response.Header)
 	e.client.putOrCloseIdle(e.conn, e.maxIdleConnections)
 }
 
@@ -195,7 +200,7 @@
 	}
 	e.ended = true
 	e.watchdog.stop()
-	e.client.closeConn(e.conn)
+	e.client.closeConn(e.conn, closeReasonAborted)
 	if e.Response != nil {
 		_ = e.Response.Body.Close()
 	}
--- a/internal/adapters/backendhttp/header.go
+++ b/internal/adapters/backendhttp/header.go
@@ -85,3 +85,20 @@
 	}
 	return time.Duration(seconds) * time.Second
 }
+
+// keepAliveMargin is how long before the server's own idle timeout a connection is
+// no longer reused: a request that crosses the server's close is lost.
+const keepAliveMargin = 500 * time.Millisecond
+
+// maxIdleTimeOf returns how long a connection may be idle after an answer: the
+// timeout in the field Keep-Alive less keepAliveMargin, but at most idleTimeout.
+func maxIdleTimeOf(header http.Header) time.Duration {
+	for parameter := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+		seconds, err := strconv.Atoi(value)
+		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
+			return min(max(time.Duration(seconds)*time.Second-keepAliveMargin, 0), idleTimeout)
+		}
+	}
+	return idleTimeout
+}
--- a/internal/adapters/enginehttp/backend_test.go
+++ b/internal/adapters/enginehttp/backend_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"hawthornstream/internal/adapters/backendhttp"
 	"hawthornstream/internal/adapters/sse"
 	"hawthornstream/internal/core/outcome"
@@ -140,7 +142,7 @@
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	client := backendhttp.NewClient()
+	client := backendhttp.NewClient(tally.NoopScope)
 	t.Cleanup(client.Close)
 	backend := New(client, func(ports.ServiceName) time.Duration { return 100 * time.Millisecond })
 	call := &ports.Call{ID: "r1", Service: "s", Stream: stream, Repeatable: true, Body: []byte("{}")}
--- a/internal/adapters/servicehttp/backend_test.go
+++ b/internal/adapters/servicehttp/backend_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"hawthornstream/internal/adapters/backendhttp"
 	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/ports"
@@ -47,7 +49,7 @@
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	client := backendhttp.NewClient()
+	client := backendhttp.NewClient(tally.NoopScope)
 	t.Cleanup(client.Close)
 	backend := New(client, func(ports.ServiceName) time.Duration { return 50 * time.Millisecond })
 	call := &ports.Call{
--- a/internal/app/execution/module.go
+++ b/internal/app/execution/module.go
@@ -41,8 +41,8 @@
 	fx.Provide(newBackends),
 )
 
-func newClient(lifecycle fx.Lifecycle) *backendhttp.Client {
-	client := backendhttp.NewClient()
+func newClient(lifecycle fx.Lifecycle, scope tally.Scope) *backendhttp.Client {
+	client := backendhttp.NewClient(scope)
 	stop := make(chan struct{})
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
