Assign servers to long prompts, whose reading stalls other streams

Ruled out: the daemons' processor time, slow servers alone, queueing.

Change: core/dispatch keeps the share of prompt tokens that belongs to prompts whose reading takes more than 0.7 of the longest pause aimed for, and assigns servers of each failure domain to them, by a rank that all daemons share.

--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -17,6 +17,9 @@
 	// prompts take the whole target alone, and count as much for each token as
 	// others.
 	largePromptQueueFraction = 0.1
+	// longPromptQueueFraction is the same on the servers that are assigned to long
+	// prompts: there the call delays no other stream, and elsewhere it would.
+	longPromptQueueFraction = 0.75
 	// plainTargetFactor is the counterpart of targetFraction for plain
 	// services.
 	plainTargetFactor = 2.0
@@ -98,12 +101,15 @@
 	return time.Duration(targetFraction * float64(w.FirstTokenWithin))
 }
 
-// largePromptQueueLimit is the longest queueing time allowed to a call whose
-// own prompt makes it late.
-func (w *Work) largePromptQueueLimit() time.Duration {
+// largePromptQueueLimit is the longest queueing time on a server allowed to a call
+// whose own prompt makes it late.
+func (w *Work) largePromptQueueLimit(server *Server) time.Duration {
 	if !w.ForEngine {
 		return 0
 	}
+	if w.isLongPrompt && server.takesLongPrompts {
+		return time.Duration(longPromptQueueFraction * float64(w.FirstTokenWithin))
+	}
 	return time.Duration(largePromptQueueFraction * float64(w.FirstTokenWithin))
 }
 
@@ -130,7 +136,7 @@
 		return false
 	}
 	queueTime := choice.ExpectedFirstByte - choice.ExpectedIdle
-	if t.Waited+choice.ExpectedFirstByte > work.firstByteLimit() && t.Waited+queueTime > work.largePromptQueueLimit() {
+	if t.Waited+choice.ExpectedFirstByte > work.firstByteLimit() && t.Waited+queueTime > work.largePromptQueueLimit(choice.Server) {
 		return false
 	}
 	if t.Overuse <= 1 {
--- a/internal/core/dispatch/load.go
+++ b/internal/core/dispatch/load.go
@@ -21,13 +21,19 @@
 	// FirstTokenWithin is the time to the first byte of the answer that the
 	// class aims for.
 	FirstTokenWithin time.Duration
+	// PauseWithin is the longest pause between events that the class aims for; zero for
+	// none.
+	PauseWithin time.Duration
 	// FailedServers are the servers on which the call failed before.
 	FailedServers []ports.VMName
+
+	// isLongPrompt is set by the pool.
+	isLongPrompt bool
 }
 
 // WorkOf returns the work of a call.
 func WorkOf(call *ports.Call) Work {
-	work := Work{Class: call.Class, FirstTokenWithin: call.FirstTokenBy.Sub(call.Arrived), FailedServers: call.FailedServers}
+	work := Work{Class: call.Class, FirstTokenWithin: call.FirstTokenBy.Sub(call.Arrived), PauseWithin: call.PauseWithin, FailedServers: call.FailedServers}
 	if prompt := call.Prompt; prompt != nil {
 		work.ForEngine = true
 		work.PrefixID = prompt.PrefixID()
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -41,6 +41,9 @@
 	// workspaces above their fair share.
 	queueAllowance float64
 	callStats
+	longPrompts longPromptStats
+	// meanSecondsPerToken is the servers' mean time to read a prompt token.
+	meanSecondsPerToken float64
 	// preferredBuffer is reused by preferredServers.
 	preferredBuffer []*Server
 }
@@ -48,7 +51,10 @@
 // NewPool returns a pool without servers, as seen from the daemon on the VM
 // self.
 func NewPool(self ports.VM) *Pool {
-	return &Pool{self: self, prefixes: newPrefixTable(), queueAllowance: maxQueueAllowance}
+	return &Pool{
+		self: self, prefixes: newPrefixTable(), queueAllowance: maxQueueAllowance,
+		meanSecondsPerToken: defaultEnginePerToken.Seconds(),
+	}
 }
 
 // SetService applies the service's configuration: whether its servers are
@@ -76,6 +82,7 @@
 	}
 	slices.SortFunc(next, func(a, b *Server) int { return cmp.Compare(a.vm.Name, b.vm.Name) })
 	p.servers = next
+	p.assignLongPromptServers()
 }
 
 // SetPeerLoads replaces the loads that the other daemons put on the servers.
@@ -143,9 +150,11 @@
 // returns the one with the lowest cost and false. The choice's Server is nil
 // when no server accepts calls.
 func (p *Pool) Choose(now time.Time, work *Work, terms AdmissionTerms) (Choice, bool) {
-	preferred := p.preferredServers(work)
 	lowestFailureRate := p.lowestFailureRate(now)
 	p.observe(work)
+	work.isLongPrompt = p.isLongPrompt(work)
+	p.observeLongPrompt(work, work.isLongPrompt)
+	preferred := p.preferredServers(work)
 	terms.queueAllowance, terms.queueLimit = p.queueAllowance, p.queueLimit(work)
 	var best, cheapest Choice
 	for _, server := range p.servers {
@@ -195,6 +204,7 @@
 	if !server.hasMemoryFor(p.memoryTokens, work.UniqueTokens+work.OutputTokens) {
 		choice.ExpectedFirstByte += work.FirstTokenWithin
 	}
+	choice.totalCost += time.Duration(p.separationCost(server, work, work.isLongPrompt))
 	choice.totalCost += choice.ExpectedFirstByte + server.failurePenalty(now, lowestFailureRate, work)
 	return choice
 }
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -35,6 +35,8 @@
 	// pendingSince holds the send times of the calls without a first byte,
 	// oldest first.
 	pendingSince []time.Time
+	// takesLongPrompts reports whether the server is assigned to long prompts.
+	takesLongPrompts bool
 	// removed reports whether the server has left the list.
 	removed bool
 }
