Count a waiting call once in a pool's averages

Cause, found by reading: each try of a waiting call, every few milliseconds, and the choice that fills in a refusal counted as one more call in the mean costs, in the share of long prompts and, as if within its share, for the queue allowance.

Change: ChooseForArrival counts a call when it arrives; Choose changes nothing. TestWaitingCallIsCountedOnce fails on the code before.

--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -45,7 +45,7 @@
 	if w.work.ForEngine && len(call.FailedServers) == 0 {
 		m.shares.RecordDemand(now, call.Workspace, w.work.CostTokens()*max(call.DemandWeight, 1))
 	}
-	if m.tryResolve(now, w) {
+	if m.tryResolve(now, w, (*core.Pool).ChooseForArrival) {
 		m.mu.Unlock()
 		return w.result()
 	}
@@ -77,9 +77,12 @@
 	return w.slot, nil
 }
 
+// chooser is a method of core.Pool that chooses a server.
+type chooser func(*core.Pool, time.Time, *core.Work, core.AdmissionTerms) (core.Choice, bool)
+
 // tryResolve grants the call a slot or refuses it, if either is possible now,
 // and reports whether it did. The caller holds the mutex.
-func (m *Manager) tryResolve(now time.Time, w *waiter) bool {
+func (m *Manager) tryResolve(now time.Time, w *waiter, choose chooser) bool {
 	if m.stopping {
 		w.refuse(stoppingRefusal())
 		return true
@@ -89,7 +92,7 @@
 		w.refuse(noServerRefusal("no backend server of the service is known"))
 		return true
 	}
-	choice, ok := pool.Choose(now, &w.work, m.admissionTerms(now, w))
+	choice, ok := choose(pool, now, &w.work, m.admissionTerms(now, w))
 	if !ok {
 		return false
 	}
@@ -146,7 +149,7 @@
 	slices.SortStableFunc(m.waiters, func(a, b *waiter) int {
 		return a.call.FirstTokenBy.Compare(b.call.FirstTokenBy)
 	})
-	m.waiters = slices.DeleteFunc(m.waiters, func(w *waiter) bool { return m.tryResolve(now, w) })
+	m.waiters = slices.DeleteFunc(m.waiters, func(w *waiter) bool { return m.tryResolve(now, w, (*core.Pool).Choose) })
 }
 
 func (m *Manager) lockAndResolveWaiters(now time.Time) {
--- a/internal/core/dispatch/dispatch_test.go
+++ b/internal/core/dispatch/dispatch_test.go
@@ -50,7 +50,7 @@
 
 func mustChoose(t *testing.T, pool *Pool, now time.Time, work *Work, terms AdmissionTerms) Choice {
 	t.Helper()
-	choice, admitted := pool.Choose(now, work, terms)
+	choice, admitted := pool.ChooseForArrival(now, work, terms)
 	if !admitted {
 		t.Fatalf("not admitted: %+v", choice)
 	}
@@ -116,7 +116,7 @@
 	}
 	pool.SetServers(vms)
 	work := longPromptWork("a")
-	next, _ := pool.Choose(start, work, AdmissionTerms{})
+	next, _ := pool.ChooseForArrival(start, work, AdmissionTerms{})
 	if next.CacheHolder != nil || next.tokensToRead != work.UniqueTokens+work.PrefixTokens {
 		t.Errorf("cache holder %v, %d tokens to process", next.CacheHolder, next.tokensToRead)
 	}
@@ -128,7 +128,7 @@
 	pool := newEnginePool(1, 64)
 	sent := 0
 	for ; sent < 200; sent++ {
-		choice, admitted := pool.Choose(start, longPromptWork(""), AdmissionTerms{})
+		choice, admitted := pool.ChooseForArrival(start, longPromptWork(""), AdmissionTerms{})
 		if !admitted {
 			if limit := time.Duration(targetFraction * float64(800*time.Millisecond)); choice.ExpectedFirstByte <= limit {
 				t.Errorf("refused at a predicted %v, limit %v", choice.ExpectedFirstByte, limit)
@@ -160,7 +160,7 @@
 	pool.queueAllowance = minQueueAllowance
 	overusing := AdmissionTerms{Overuse: 4}
 	for range 1000 {
-		choice, admitted := pool.Choose(start, longPromptWork(""), overusing)
+		choice, admitted := pool.ChooseForArrival(start, longPromptWork(""), overusing)
 		if !admitted {
 			break
 		}
@@ -207,7 +207,7 @@
 	pool.queueAllowance = minQueueAllowance
 	loaded := pool.findServer("e1-0")
 	loaded.ownLoad.PendingTokens = 5000
-	choice, admitted := pool.Choose(start, longPromptWork(""), AdmissionTerms{Overuse: 5})
+	choice, admitted := pool.ChooseForArrival(start, longPromptWork(""), AdmissionTerms{Overuse: 5})
 	if !admitted || choice.Server == loaded {
 		t.Errorf("admitted %v at %s", admitted, choice.Server.VM().Name)
 	}
@@ -256,7 +256,7 @@
 	work := &Work{FirstTokenWithin: 200 * time.Millisecond}
 	server := pool.Servers()[0]
 	pool.Book(start, Choice{Server: server}, work)
-	choice, admitted := pool.Choose(start.Add(200*time.Millisecond), work, AdmissionTerms{})
+	choice, admitted := pool.ChooseForArrival(start.Add(200*time.Millisecond), work, AdmissionTerms{})
 	if !admitted || choice.ExpectedFirstByte > 100*time.Millisecond {
 		t.Errorf("beside one run of 200 ms: admitted %v, expected %v", admitted, choice.ExpectedFirstByte)
 	}
@@ -321,7 +321,7 @@
 		for range calls {
 			now = now.Add(time.Duration(random.IntN(300)) * time.Millisecond)
 			work := longPromptWork(fmt.Sprint(random.IntN(5)))
-			if choice, ok := pool.Choose(now, work, AdmissionTerms{Overuse: 2 * random.Float64()}); ok {
+			if choice, ok := pool.ChooseForArrival(now, work, AdmissionTerms{Overuse: 2 * random.Float64()}); ok {
 				open = append(open, pool.Book(now, choice, work))
 			}
 			if len(open) > 0 && random.IntN(2) == 0 {
@@ -391,7 +391,7 @@
 	setPending(4_000)
 	mustChoose(t, pool, start, huge, AdmissionTerms{})
 	setPending(25_000)
-	if choice, admitted := pool.Choose(start, huge, AdmissionTerms{}); admitted {
+	if choice, admitted := pool.ChooseForArrival(start, huge, AdmissionTerms{}); admitted {
 		t.Errorf("admitted behind a queue of %s", choice.ExpectedFirstByte-choice.ExpectedIdle)
 	}
 }
@@ -420,3 +420,27 @@
 		t.Error("a workspace far above its share may queue")
 	}
 }
+
+// Load pattern: under high load a call that waits is tried again every few
+// milliseconds. It counts once in the averages and for the queue allowance, and a
+// refused call is counted as what it is, not as one within its share.
+func TestWaitingCallIsCountedOnce(t *testing.T) {
+	pool := newEnginePool(2, 1)
+	waiting := longPromptWork("a")
+	for range 2 * 3 {
+		work := longPromptWork("a")
+		if choice, admitted := pool.ChooseForArrival(start, work, AdmissionTerms{}); admitted {
+			pool.Book(start, choice, work)
+		}
+	}
+	pool.ChooseForArrival(start, waiting, AdmissionTerms{})
+	allowance, averages, long := pool.queueAllowance, pool.meanTokens, pool.longPrompts
+	waiting.UniqueTokens *= 2
+	for range 100 {
+		pool.Choose(start, waiting, AdmissionTerms{})
+	}
+	if pool.queueAllowance != allowance || pool.meanTokens != averages || pool.longPrompts != long {
+		t.Errorf("tries of a waiting call changed the allowance from %v to %v, the mean tokens from %v to %v",
+			allowance, pool.queueAllowance, averages, pool.meanTokens)
+	}
+}
--- a/internal/core/dispatch/longprompts.go
+++ b/internal/core/dispatch/longprompts.go
@@ -84,11 +84,11 @@
 
 // observeLongPrompt records a call and, once in a while, assigns servers to long
 // prompts anew.
-func (p *Pool) observeLongPrompt(work *Work, isLong bool) {
+func (p *Pool) observeLongPrompt(work *Work) {
 	if !work.ForEngine {
 		return
 	}
-	p.longPrompts.observe(work, isLong)
+	p.longPrompts.observe(work, p.isLongPrompt(work))
 	if p.longPrompts.callsSinceAssignment >= assignmentInterval {
 		p.assignLongPromptServers()
 	}
--- a/internal/core/dispatch/longprompts_test.go
+++ b/internal/core/dispatch/longprompts_test.go
@@ -68,7 +68,7 @@
 }
 
 func (r *streamReplay) arrive(now time.Time, work *Work) {
-	choice, admitted := r.pool.Choose(now, work, AdmissionTerms{})
+	choice, admitted := r.pool.ChooseForArrival(now, work, AdmissionTerms{})
 	if !admitted {
 		return
 	}
@@ -132,7 +132,7 @@
 		if longEvery > 0 && i%longEvery == 0 {
 			tokens = longTokens
 		}
-		pool.Choose(start, newStreamWork(tokens, testPauseWithin), AdmissionTerms{})
+		pool.ChooseForArrival(start, newStreamWork(tokens, testPauseWithin), AdmissionTerms{})
 	}
 }
 
@@ -188,7 +188,7 @@
 	used := make(map[string]bool)
 	for range 2 * len(pool.Servers()) {
 		work := newStreamWork(usualTokens, testPauseWithin)
-		choice, admitted := pool.Choose(start, work, AdmissionTerms{})
+		choice, admitted := pool.ChooseForArrival(start, work, AdmissionTerms{})
 		if !admitted {
 			break
 		}
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -143,6 +143,19 @@
 	tokensToRead int
 }
 
+// ChooseForArrival chooses a server as Choose does, for a call that has just arrived.
+// It also counts the call in the pool's averages and adjusts the queue allowance to
+// it. A call that waits, or that is refused, is counted by this alone.
+func (p *Pool) ChooseForArrival(now time.Time, work *Work, terms AdmissionTerms) (Choice, bool) {
+	p.observe(work)
+	p.observeLongPrompt(work)
+	best, cheapest := p.choose(now, work, terms)
+	if cheapest.Server != nil && terms.Overuse <= 1 && !terms.AlwaysAdmit {
+		p.updateQueueAllowance(cheapest)
+	}
+	return admittedOr(best, cheapest)
+}
+
 // Choose returns the server on which the call should run, and true: the
 // admitted one with the lowest cost, which is the predicted time to the first
 // byte plus penalties for leaving the prefix's preferred server, the failure
@@ -150,13 +163,25 @@
 // returns the one with the lowest cost and false. The choice's Server is nil
 // when no server accepts calls.
 func (p *Pool) Choose(now time.Time, work *Work, terms AdmissionTerms) (Choice, bool) {
+	return admittedOr(p.choose(now, work, terms))
+}
+
+// admittedOr returns the choice best and true, or cheapest and false if best has no
+// server.
+func admittedOr(best, cheapest Choice) (Choice, bool) {
+	if best.Server == nil {
+		return cheapest, false
+	}
+	return best, true
+}
+
+// choose returns the admitted server with the lowest cost, and that with the lowest
+// cost of all that accept calls.
+func (p *Pool) choose(now time.Time, work *Work, terms AdmissionTerms) (best, cheapest Choice) {
 	lowestFailureRate := p.lowestFailureRate(now)
-	p.observe(work)
 	work.isLongPrompt = p.isLongPrompt(work)
-	p.observeLongPrompt(work, work.isLongPrompt)
 	preferred := p.preferredServers(work)
 	terms.queueAllowance, terms.queueLimit = p.queueAllowance, p.queueLimit(work)
-	var best, cheapest Choice
 	for _, server := range p.servers {
 		if !server.accepts(now, work) {
 			continue
@@ -169,13 +194,7 @@
 			best = choice
 		}
 	}
-	if cheapest.Server != nil && terms.Overuse <= 1 && !terms.AlwaysAdmit {
-		p.updateQueueAllowance(cheapest)
-	}
-	if best.Server == nil {
-		return cheapest, false
-	}
-	return best, true
+	return best, cheapest
 }
 
 // evaluate predicts the time to the first byte and the cost of a call on one
