--- a/internal/app/liveconfig/platform.go
+++ b/internal/app/liveconfig/platform.go
@@ -35,31 +35,43 @@
 	retry := newRetryBackoff()
 	var seen ports.ObjectVersion
 	for ctx.Err() == nil {
-		update, fetched, err := m.fetchUpdate(ctx, seen)
+		update, method, err := m.fetchUpdate(ctx, seen)
 		var corrupt *configuration.CorruptChainError
 		switch {
 		case ctx.Err() != nil:
 			return
-		case !fetched:
+		case method == fetchNone:
 			m.waitForDirectoryChange(ctx, watcherCheckPeriod)
 		case errors.As(err, &corrupt):
 			m.countIgnored(ignoredCorrupt, sourcePlatform)
 			m.logger.Error().Str("event", "configuration-corrupt").Uint64("version", uint64(update.Version)).
 				Err(err).Msg("")
-			seen = update.Version
 			m.setPlatformError("")
+			seen = update.Version
+			m.waitAfterRead(ctx, method, retry)
 		case err != nil:
 			m.setPlatformError(err.Error())
 			m.waitForDirectoryChange(ctx, retry.NextBackOff())
 		default:
-			retry.Reset()
 			m.setPlatformError("")
 			m.adoptUpdate(update)
+			if m.Current() != nil {
+				retry.Reset()
+			}
 			seen = update.Version
+			m.waitAfterRead(ctx, method, retry)
 		}
 	}
 }
 
+// waitAfterRead pauses after a read that brought no configuration. Unlike a watch,
+// the next read would return at once.
+func (m *Manager) waitAfterRead(ctx context.Context, method fetchMethod, retry *backoff.ExponentialBackOff) {
+	if method == fetchRead && m.Current() == nil {
+		m.waitForDirectoryChange(ctx, retry.NextBackOff())
+	}
+}
+
 func newRetryBackoff() *backoff.ExponentialBackOff {
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = minRetryDelay
@@ -67,23 +79,34 @@
 	return retry
 }
 
+// fetchMethod says how an update was fetched from the platform.
+type fetchMethod uint8
+
+const (
+	// fetchNone means that no call was made.
+	fetchNone fetchMethod = iota
+	// fetchWatch means that the call waited for a change.
+	fetchWatch
+	// fetchRead means that the call returned the newest revision at once.
+	fetchRead
+)
+
 // fetchUpdate waits for the next revision if this daemon is a watcher, or reads
-// the newest revision if it has no configuration. Otherwise it makes no call
-// and returns false.
-func (m *Manager) fetchUpdate(ctx context.Context, seen ports.ObjectVersion) (ports.RevisionUpdate, bool, error) {
+// the newest revision if it has no configuration. Otherwise it makes no call.
+func (m *Manager) fetchUpdate(ctx context.Context, seen ports.ObjectVersion) (ports.RevisionUpdate, fetchMethod, error) {
 	self := m.directory.Self()
 	ranked := rankDaemons(m.directory.Daemons(), self.Domain)
 	switch {
 	case m.Current() != nil && m.allMayWatch && time.Since(m.startedAt) < startupPeriod:
-		return ports.RevisionUpdate{}, false, nil
+		return ports.RevisionUpdate{}, fetchNone, nil
 	case m.allMayWatch && len(m.directory.Daemons()) <= maxSmallFleet || isWatcher(ranked, self.Name):
 		update, err := m.feed.Await(ctx, seen)
-		return update, true, err
+		return update, fetchWatch, err
 	case m.Current() == nil:
 		update, err := m.feed.Newest(ctx)
-		return update, true, err
+		return update, fetchRead, err
 	default:
-		return ports.RevisionUpdate{}, false, nil
+		return ports.RevisionUpdate{}, fetchNone, nil
 	}
 }
 
--- a/internal/core/configuration/document_test.go
+++ b/internal/core/configuration/document_test.go
@@ -118,3 +118,19 @@
 		}
 	})
 }
+
+// A time with an offset may be in a year that JSON can't express in UTC. Such a
+// document is invalid; its canonical form would not exist.
+func TestPlannedStopOutsideYearsOfJSONIsInvalid(t *testing.T) {
+	for _, text := range []string{"0000-01-01T00:00:00+05:00", "9999-12-31T23:00:00-05:00"} {
+		document, err := Parse([]byte(`{"classes": {"a": {"firstTokenWithin": "1s", "answerWithin": "2s"}}, "services": {}, "plannedStops": [{"vm": "vm-1", "notBefore": "` + text + `"}]}`))
+		var invalid *InvalidDocumentError
+		if !errors.As(err, &invalid) {
+			t.Errorf("%s: got document %+v, %v; want an InvalidDocumentError", text, document, err)
+			continue
+		}
+		if len(invalid.Faults) != 1 || invalid.Faults[0].Path != "plannedStops[0].notBefore" {
+			t.Errorf("%s: got faults %+v", text, invalid.Faults)
+		}
+	}
+}
--- a/internal/core/configuration/validate.go
+++ b/internal/core/configuration/validate.go
@@ -82,7 +82,11 @@
 	return faults
 }
 
-// checkPlannedStops reports VMs that have more than one planned stop.
+// maxYear is the last year that JSON can express; the first is zero.
+const maxYear = 9999
+
+// checkPlannedStops reports VMs that have more than one planned stop, and times that
+// JSON can't express in UTC.
 func checkPlannedStops(document Document) []fieldcheck.Fault {
 	var faults []fieldcheck.Fault
 	seenVMs := map[VMName]bool{}
@@ -92,6 +96,10 @@
 			faults = append(faults, newFault(path, stop.VM, "each VM once"))
 		}
 		seenVMs[stop.VM] = true
+		if year := stop.NotBefore.UTC().Year(); year < 0 || year > maxYear {
+			path := fmt.Sprintf("plannedStops[%d].notBefore", i)
+			faults = append(faults, newFault(path, stop.NotBefore.String(), "a time in the years 0 to 9999 in UTC"))
+		}
 	}
 	return faults
 }
