Close idle connections to a server when one of them has gone silent

Cause: run-once calls on kept connections have no watchdog; when something between daemon and server loses track of all connections, each idle one would swallow a call. Change: a connection that shows the silence by a repeatable call ends the idle ones to the same server.

--- a/internal/adapters/backendhttp/client.go
+++ b/internal/adapters/backendhttp/client.go
@@ -147,6 +147,16 @@
 	c.closeConns(unusable, closeReasonIdleEnded)
 }
 
+// dropIdle closes the idle connections to an address after another one has gone
+// silent: what lies between may have lost track of them all.
+func (c *Client) dropIdle(address string) {
+	c.mu.Lock()
+	conns := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	c.closeConns(conns, closeReasonSilent)
+}
+
 func splitUsable(conns []*clientConn, now time.Time) (usable, unusable []*clientConn) {
 	for _, conn := range conns {
 		if conn.usable(now) {
--- a/internal/adapters/backendhttp/connreason.go
+++ b/internal/adapters/backendhttp/connreason.go
@@ -23,6 +23,8 @@
 	// closeReasonAborted means that the exchange ended before its answer was whole:
 	// the caller hung up, the deadline passed or the connection broke.
 	closeReasonAborted closeReason = "aborted"
+	// closeReasonSilent means that another connection to the server had gone silent.
+	closeReasonSilent closeReason = "silent"
 	// closeReasonByServer means that the server asked to close the connection, or
 	// closed it, with the end of the answer.
 	closeReasonByServer closeReason = "by-server"
--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -201,6 +201,9 @@
 	e.ended = true
 	e.watchdog.stop()
 	e.client.closeConn(e.conn, closeReasonAborted)
+	if e.conn.tracked.closedAsSilent.Load() {
+		e.client.dropIdle(e.conn.address)
+	}
 	if e.Response != nil {
 		_ = e.Response.Body.Close()
 	}
--- a/internal/adapters/backendhttp/runonce_test.go
+++ b/internal/adapters/backendhttp/runonce_test.go
@@ -198,3 +198,34 @@
 		}
 	}
 }
+
+// Open connections may all go silent at once. When one shows it, the idle ones to the
+// same server must not carry further calls.
+func TestSilentConnectionEndsIdleOnes(t *testing.T) {
+	var opened sync.WaitGroup
+	opened.Add(2)
+	server := startScriptedServer(t, &scriptedServer{
+		afterAnswer: func(*net.TCPConn) bool { opened.Done(); opened.Wait(); return true },
+		onSecond:    func(*net.TCPConn) {},
+	})
+	client := newTestClient(t)
+	var calls sync.WaitGroup
+	for range 2 {
+		calls.Go(func() { doWhole(t, client, newRunOnceRequest(server.address)) })
+	}
+	calls.Wait()
+	waitUntil(t, func() bool {
+		client.mu.Lock()
+		defer client.mu.Unlock()
+		return len(client.idle[server.address]) == 2
+	})
+	request := newPostRequest(server.address)
+	request.SilenceTimeout = 20 * time.Millisecond
+	_, err := client.Do(testContext(t), request)
+	if !requireExchangeError(t, err).Silent {
+		t.Fatalf("got error %v, want a silent connection", err)
+	}
+	if idle := len(client.idle[server.address]); idle != 0 || client.openCount[server.address] != 0 {
+		t.Errorf("%d connections are idle, %d open; want none", idle, client.openCount[server.address])
+	}
+}
