Report a failure domain's sums to one daemon of each other domain

Cause: each of two aggregators a domain sent the sums to every daemon of the other domains, so that bytes between domains grew with the daemons. At 195 daemons a report went out every 3.3 s, while rates count for 3 s only: the fair shares were partly unknown there.

Change: an aggregator reports to its counterpart of the same rank in each other domain, which relays the sums within its domain. Reports are sent every 0.4 s plus 10 ms a daemon instead of 15.

--- a/internal/app/dispatch/exchange.go
+++ b/internal/app/dispatch/exchange.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	core "hawthornstream/internal/core/dispatch"
 	"hawthornstream/internal/ports"
 )
@@ -20,14 +18,11 @@
 	// ratesPeriod is the time between two reports that include the rates of
 	// workspaces.
 	ratesPeriod = 500 * time.Millisecond
-	// aggregatorsPerDomain is the number of daemons of a failure domain that
-	// report its sums to the other domains: one more than needed, in case one
-	// is lost.
-	aggregatorsPerDomain = 2
-	// aggregatePeriod is the time between two such reports of one aggregator,
-	// and aggregatePeriodPerDaemon what each daemon of the fleet adds to it.
+	// aggregatePeriod is the time between two reports of a failure domain's sums
+	// by one aggregator, and aggregatePeriodPerDaemon what each daemon of the
+	// fleet adds to it.
 	aggregatePeriod          = 400 * time.Millisecond
-	aggregatePeriodPerDaemon = 15 * time.Millisecond
+	aggregatePeriodPerDaemon = 10 * time.Millisecond
 	// maxDaemonsForServerLoads is the largest fleet in which the sums include
 	// the load of each server; in larger ones their bytes cost more than they
 	// gain.
@@ -44,59 +39,49 @@
 	aggregateSentAt time.Time
 }
 
-// splitByDomain splits the other daemons into those of this failure domain and
-// the rest, and reports whether this daemon is an aggregator of its domain.
-func splitByDomain(self ports.VM, daemons []ports.VM) (sameDomain, otherDomains []ports.VM, isAggregator bool) {
-	rank := 0
-	for _, daemon := range daemons {
-		switch {
-		case daemon.Name == self.Name:
-		case daemon.Domain != self.Domain:
-			otherDomains = append(otherDomains, daemon)
-		default:
-			sameDomain = append(sameDomain, daemon)
-			if compareByNameHash(daemon, self) < 0 {
-				rank++
-			}
-		}
-	}
-	return sameDomain, otherDomains, rank < aggregatorsPerDomain
-}
-
-// compareByNameHash orders daemons by the hash of their names.
-func compareByNameHash(a, b ports.VM) int {
-	return cmp.Or(
-		cmp.Compare(xxhash.Sum64String(string(a.Name)), xxhash.Sum64String(string(b.Name))),
-		cmp.Compare(a.Name, b.Name),
-	)
-}
-
 // sendLoadMessages sends this daemon's load to the daemons of its failure domain
-// and, as an aggregator, the domain's sums to the other domains. It returns the
-// time until the next report.
+// and, as an aggregator, the domain's sums to its counterparts in the other domains.
+// It returns the time until the next report.
 func (m *Manager) sendLoadMessages(now time.Time) time.Duration {
 	daemons := m.directory.Daemons()
-	sameDomain, otherDomains, isAggregator := splitByDomain(m.directory.Self(), daemons)
+	topology := core.NewTopology(m.directory.Self(), daemons)
 	digest := m.listDigest()
 	m.mu.Lock()
 	message := m.newLoadMessage(now, digest)
 	var aggregate *ports.LoadMessage
-	if isAggregator &&
+	if topology.IsAggregator &&
 		now.Sub(m.exchange.aggregateSentAt) >= aggregatePeriod+time.Duration(len(daemons))*aggregatePeriodPerDaemon {
 		aggregate = m.newAggregateMessage(now, digest, len(daemons) <= maxDaemonsForServerLoads)
-	} else if !isAggregator {
+	} else if !topology.IsAggregator {
 		m.dropCrossDomainUpdates()
 	}
 	m.mu.Unlock()
-	for _, daemon := range sameDomain {
+	m.sendToAll(topology.SameDomain, message)
+	if aggregate != nil {
+		m.sendToAll(topology.Counterparts, aggregate)
+	}
+	return reportPeriod + time.Duration(len(topology.SameDomain))*reportPeriodPerPeer
+}
+
+func (m *Manager) sendToAll(daemons []ports.VM, message *ports.LoadMessage) {
+	for _, daemon := range daemons {
 		m.transport.Send(daemon.Name, message)
 	}
-	if aggregate != nil {
-		for _, daemon := range otherDomains {
-			m.transport.Send(daemon.Name, aggregate)
-		}
+}
+
+// relayAggregate passes the sums of another failure domain on to the daemons of this
+// one.
+func (m *Manager) relayAggregate(message *ports.LoadMessage) {
+	self := m.directory.Self()
+	if message.Domain == "" || message.Domain == self.Domain || message.Relayed {
+		return
 	}
-	return reportPeriod + time.Duration(len(sameDomain))*reportPeriodPerPeer
+	relayed := *message
+	relayed.Relayed = true
+	// The digest describes the list of the aggregator, which the receivers would ask
+	// the relaying daemon for.
+	relayed.ServerList = ports.ServerListDigest{}
+	m.sendToAll(core.NewTopology(self, m.directory.Daemons()).SameDomain, &relayed)
 }
 
 func (m *Manager) newLoadMessage(now time.Time, digest ports.ServerListDigest) *ports.LoadMessage {
@@ -189,6 +174,7 @@
 
 func (m *Manager) handleLoadMessage(from ports.DaemonID, message *ports.LoadMessage) {
 	m.pullNewerList(from, message.ServerList)
+	m.relayAggregate(message)
 	now := time.Now()
 	source := core.Source{Daemon: from}
 	if message.Domain != "" {
--- a/internal/app/dispatch/lists.go
+++ b/internal/app/dispatch/lists.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	core "hawthornstream/internal/core/dispatch"
 	"hawthornstream/internal/ports"
 )
 
@@ -102,7 +103,7 @@
 	daemons := m.directory.Daemons()
 	rank := 0
 	for _, daemon := range daemons {
-		if daemon.Domain == self.Domain && compareByNameHash(daemon, self) < 0 {
+		if daemon.Domain == self.Domain && core.CompareByNameHash(daemon, self) < 0 {
 			rank++
 		}
 	}
--- a/internal/app/dispatch/lists_test.go
+++ b/internal/app/dispatch/lists_test.go
@@ -68,23 +68,3 @@
 		t.Error("the list is pulled twice at once")
 	}
 }
-
-func TestAggregatorsAreTheFirstOfTheirDomain(t *testing.T) {
-	daemons := []ports.VM{
-		{Name: "a", Domain: "z1"}, {Name: "b", Domain: "z1"}, {Name: "c", Domain: "z1"}, {Name: "d", Domain: "z1"},
-		{Name: "e", Domain: "z2"},
-	}
-	aggregators := 0
-	for _, self := range daemons {
-		sameDomain, otherDomains, isAggregator := splitByDomain(self, daemons)
-		if len(sameDomain)+len(otherDomains) != len(daemons)-1 {
-			t.Errorf("%s has %d daemons in its domain and %d in others", self.Name, len(sameDomain), len(otherDomains))
-		}
-		if isAggregator && self.Domain == "z1" {
-			aggregators++
-		}
-	}
-	if aggregators != aggregatorsPerDomain {
-		t.Errorf("%d aggregators in a domain of four", aggregators)
-	}
-}
--- a/internal/ports/dispatch_messages.go
+++ b/internal/ports/dispatch_messages.go
@@ -9,7 +9,11 @@
 	// and demand of all daemons of a failure domain. It then replaces the previous
 	// message for that domain, whichever daemon sent it.
 	Domain FailureDomain `cbor:"5,keyasint,omitempty"`
-	// ServerList describes the sender's copy of the list of backend servers.
+	// Relayed is set by the daemon that passes the sums of another domain on to the
+	// daemons of its own.
+	Relayed bool `cbor:"7,keyasint,omitempty"`
+	// ServerList describes the sender's copy of the list of backend servers. It is
+	// zero in a relayed message.
 	ServerList ServerListDigest `cbor:"6,keyasint"`
 	// Rates are present in some messages only. If absent, the previous ones stay
 	// valid.
