Sum up the peers' loads before a choice, not for each report

A profile of a received report (BenchmarkLoadMessage, 33 daemons of a failure domain, 20 of 100 servers each) shows 89 in 100 of its time in the sum over all peers; there 43 reports a second arrive and 7 calls.

TestReportedLoadCountsForTheNextCall fails when the sum is left out.

--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -45,6 +45,7 @@
 	if w.work.ForEngine && len(call.FailedServers) == 0 {
 		m.shares.RecordDemand(now, call.Workspace, w.work.CostTokens()*max(call.DemandWeight, 1))
 	}
+	m.mergePeerLoads(now)
 	if m.tryResolve(now, w, (*core.Pool).ChooseForArrival) {
 		m.mu.Unlock()
 		return w.result()
@@ -146,6 +147,7 @@
 		return
 	}
 	m.waitersResolvedAt = now
+	m.mergePeerLoads(now)
 	slices.SortStableFunc(m.waiters, func(a, b *waiter) int {
 		return a.call.FirstTokenBy.Compare(b.call.FirstTokenBy)
 	})
--- a/internal/app/dispatch/exchange.go
+++ b/internal/app/dispatch/exchange.go
@@ -205,7 +205,6 @@
 			pool.RecordCachedPrefix(now, cached, source.Domain == "")
 		}
 	}
-	m.mergePeerLoads(now)
 	m.resolveWaiters(now)
 }
 
@@ -220,8 +219,9 @@
 	m.shares.SetPeerRates(now, source, rates)
 }
 
-// mergePeerLoads sums the loads that the peers reported. The caller holds the
-// mutex.
+// mergePeerLoads sums the loads that the peers reported. It is called before a choice
+// rather than for each report: in a large failure domain far more reports arrive than
+// calls. The caller holds the mutex.
 func (m *Manager) mergePeerLoads(now time.Time) {
 	if now.Sub(m.peersMergedAt) < mergeInterval {
 		return
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -178,7 +178,6 @@
 			delete(m.pools, name)
 		}
 	}
-	m.mergePeerLoads(time.Now())
 	m.resolveWaiters(time.Now())
 }
 
--- a/internal/app/dispatch/relay_test.go
+++ b/internal/app/dispatch/relay_test.go
@@ -79,14 +79,18 @@
 	for _, daemon := range f.daemons {
 		node := &exchangeNode{fakeEnvironment: environment, fleet: f, self: daemon}
 		f.nodes[daemon.Name] = node
-		f.managers[daemon.Name] = NewManager(Params{
-			Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, Scope: tally.NoopScope,
-			Directory: exchangeDirectory{node}, Transport: node, Configuration: fakeConfigurationSource{environment},
-		})
+		f.managers[daemon.Name] = newExchangeManager(node)
 	}
 	return f
 }
 
+func newExchangeManager(node *exchangeNode) *Manager {
+	return NewManager(Params{
+		Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, Scope: tally.NoopScope,
+		Directory: exchangeDirectory{node}, Transport: node, Configuration: fakeConfigurationSource{node.fakeEnvironment},
+	})
+}
+
 // report makes all running daemons send their reports.
 func (f *exchangeFleet) report(now time.Time) {
 	for _, daemon := range f.daemons {
@@ -154,3 +158,14 @@
 		}
 	}
 }
+
+// A peer reports that it fills the only server. The next call must see that, although
+// no merge happened when the report arrived.
+func TestReportedLoadCountsForTheNextCall(t *testing.T) {
+	m := newTestManager(t)
+	m.handleLoadMessage("d2", &ports.LoadMessage{Sequence: 1, Servers: []ports.ServerLoad{
+		{Service: "llm", Server: "e1", Calls: 1, PendingTokens: 500_000},
+	}})
+	_, err := m.Acquire(t.Context(), newEngineCall("w1"))
+	mustBeRefusal(t, err)
+}
