--- a/testbench/fleet/fleet.go
+++ b/testbench/fleet/fleet.go
@@ -72,9 +72,13 @@
 		Engines:       make(map[string]*engine.Engine),
 		PlainServers:  make(map[string]*service.Service),
 		options:       options,
-		addresses:     newAddressAllocator(),
 		daemonDomains: make(map[string]Domain),
 	}
+	var err error
+	if f.addresses, err = newAddressAllocator(); err != nil {
+		return nil, err
+	}
+	f.onClose(f.addresses.close)
 	f.onClose(f.Network.Close)
 	if err := f.prepare(); err != nil {
 		f.Close()
--- a/testbench/fleet/platform.go
+++ b/testbench/fleet/platform.go
@@ -19,15 +19,46 @@
 	EndpointVMList    = "vm-list"
 )
 
-// addressAllocator allocates addresses in a random /24 network of 127.0.0.0/8,
-// which other processes are unlikely to use.
+const (
+	// claimOctet and claimPort are the last octet and the port on which the owner of
+	// a network listens as long as it uses the network.
+	claimOctet = 254
+	claimPort  = 47999
+	// maxClaimAttempts is the number of networks that are tried.
+	maxClaimAttempts = 100
+)
+
+// addressAllocator allocates addresses in a random /24 network of 127.0.0.0/8, which
+// it has claimed: no other process that allocates addresses can use it at the time.
 type addressAllocator struct {
 	octet2, octet3 int
 	lastOctet      atomic.Int32
+	claim          net.Listener
+}
+
+// newAddressAllocator claims a network. The caller must call close.
+func newAddressAllocator() (*addressAllocator, error) {
+	return claimNetwork(func() (octet2, octet3 int) { return 1 + rand.IntN(250), 1 + rand.IntN(250) })
+}
+
+// claimNetwork claims the first free network of those that draw returns.
+func claimNetwork(draw func() (octet2, octet3 int)) (*addressAllocator, error) {
+	var lastErr error
+	for range maxClaimAttempts {
+		octet2, octet3 := draw()
+		claimed := net.TCPAddr{IP: net.IPv4(127, byte(octet2), byte(octet3), claimOctet), Port: claimPort}
+		listener, err := net.ListenTCP("tcp", &claimed)
+		if err == nil {
+			return &addressAllocator{octet2: octet2, octet3: octet3, claim: listener}, nil
+		}
+		lastErr = err
+	}
+	return nil, fmt.Errorf("no network of 127.0.0.0/8 could be claimed: %w", lastErr)
 }
 
-func newAddressAllocator() *addressAllocator {
-	return &addressAllocator{octet2: 1 + rand.IntN(250), octet3: 1 + rand.IntN(250)}
+// close gives the network up.
+func (a *addressAllocator) close() {
+	_ = a.claim.Close()
 }
 
 func (a *addressAllocator) allocate() net.IP {
