Add hawthornctl losses: calls not served, by cause, from the logs

Asked for by the issue on the worst load: a table of what callers lost, kept as a tool for operators. It reads the logs of the daemons, adds the lines that they left out, and counts by cause, class, workspace and time. Answers that came late are not in the logs and not in the table.

--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -66,5 +66,6 @@
 		&diffCommand{options: o},
 		&historyCommand{options: o},
 		&explainCommand{options: o},
+		&lossesCommand{options: o},
 	}
 }
