--- a/internal/core/dispatch/load.go
+++ b/internal/core/dispatch/load.go
@@ -33,7 +33,10 @@
 
 // WorkOf returns the work of a call.
 func WorkOf(call *ports.Call) Work {
-	work := Work{Class: call.Class, FirstTokenWithin: call.FirstTokenBy.Sub(call.Arrived), PauseWithin: call.PauseWithin, FailedServers: call.FailedServers}
+	work := Work{
+		Class: call.Class, FirstTokenWithin: call.FirstTokenBy.Sub(call.Arrived), PauseWithin: call.PauseWithin,
+		FailedServers: call.FailedServers,
+	}
 	if prompt := call.Prompt; prompt != nil {
 		work.ForEngine = true
 		work.PrefixID = prompt.PrefixID()
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -145,7 +145,8 @@
 
 // ChooseForArrival chooses a server as Choose does, for a call that has just arrived.
 // It also counts the call in the pool's averages and adjusts the queue allowance to
-// it. A call that waits, or that is refused, is counted by this alone.
+// it. A call that waits, or that is refused, is counted by this alone; one that is
+// sent again after a failed run counts again.
 func (p *Pool) ChooseForArrival(now time.Time, work *Work, terms AdmissionTerms) (Choice, bool) {
 	p.observe(work)
 	p.observeLongPrompt(work)
