Hold the kernel's check of kept connections by a test of its own

Cause: TestRunOnceRequestAvoidsEndedConnection passes without the check, since net/http notices the close by itself in time; found by leaving the check out on a scratch copy. Change: a test in which only the kernel knows of the close.

--- a/internal/adapters/backendhttp/runonce_test.go
+++ b/internal/adapters/backendhttp/runonce_test.go
@@ -229,3 +229,34 @@
 		t.Errorf("%d connections are idle, %d open; want none", idle, client.openCount[server.address])
 	}
 }
+
+// The kernel knows that the server has closed the connection, and the HTTP client has
+// not read that yet. A run-once request must not take the connection; for others the
+// HTTP client's own knowledge counts.
+func TestKernelStateCountsForRunOnceRequests(t *testing.T) {
+	server := startScriptedServer(t, &scriptedServer{})
+	closing := startRawServer(t, func(_ int64, conn net.Conn) { _ = conn.Close() })
+	closed, err := net.Dial("tcp", closing)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = closed.Close() }()
+	for runOnce, want := range map[bool]bool{true: false, false: true} {
+		client := newTestClient(t)
+		doWhole(t, client, newPostRequest(server.address))
+		idle := client.idle[server.address][0]
+		idle.tracked = newTrackedConn(closed)
+		waitUntil(t, func() bool { return !idle.tracked.isQuiet() })
+		request := newPostRequest(server.address)
+		if runOnce {
+			request = newRunOnceRequest(server.address)
+		}
+		conn, _ := client.takeIdle(request, time.Now())
+		if reused := conn != nil; reused != want {
+			t.Errorf("run once %t: reused %t, want %t", runOnce, reused, want)
+		}
+		if conn != nil {
+			client.closeConn(conn, closeReasonAborted)
+		}
+	}
+}
