Log and count answers that are cut, and why no other try follows

Cause: call-ended has the same line for a refusal and for an answer that was cut after it had begun, and a try that wasn't followed by another one left no line. Change: call-ended has cut, call-given-up names the cause, execution_answers_cut counts. No decision changes. go test -race ./internal/app/execution ./docs: ok.

--- a/internal/app/execution/executor.go
+++ b/internal/app/execution/executor.go
@@ -80,7 +80,7 @@
 	defer cancel()
 	trace := e.startTrace(call)
 	result := e.executeOnce(ctx, call, sink, trace)
-	e.recordEnd(call, trace, result)
+	e.recordEnd(call, trace, result, sink.Begun())
 	return result
 }
 
@@ -113,13 +113,14 @@
 	return &outcome.Refusal{Reason: outcome.ReasonInternal, End: outcome.NotRun, Detail: "no slot could be acquired"}
 }
 
-// recordEnd adds the end of a call to its trace, the log and the metrics.
-func (e *Executor) recordEnd(call *ports.Call, trace *callTrace, result outcome.Result) {
+// recordEnd adds the end of a call to its trace, the log and the metrics. begun says
+// that the caller may have received a part of the answer.
+func (e *Executor) recordEnd(call *ports.Call, trace *callTrace, result outcome.Result, begun bool) {
 	now := time.Now()
 	reason := outcome.Reason("")
 	if result.Refusal != nil {
 		reason = result.Refusal.Reason
 	}
 	trace.addEvent(now, "ended", fmt.Sprintf("run=%s reason=%s", result.End, reason))
-	e.reporter.callEnded(now, call, result)
+	e.reporter.callEnded(now, call, result, begun)
 }
--- a/internal/app/execution/executor_test.go
+++ b/internal/app/execution/executor_test.go
@@ -1,8 +1,10 @@
 package execution
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +23,8 @@
 	mu      sync.Mutex
 	results []ports.RunResult
 	sentIDs []ports.RequestID
+	// beginsFailed makes failed runs begin the answer.
+	beginsFailed bool
 	// onRun is called in each run if it is not nil.
 	onRun func(ctx context.Context, call *ports.Call)
 }
@@ -39,6 +43,9 @@
 	if b.onRun != nil {
 		b.onRun(ctx, call)
 	}
+	if result.Reason != "" && b.beginsFailed {
+		_ = sink.Begin(200, nil)
+	}
 	if result.Reason == "" {
 		_ = sink.Begin(200, ports.Header{"Content-Type": {"text/plain"}})
 		_ = sink.Write([]byte("answer"))
@@ -243,3 +250,19 @@
 		t.Errorf("%d runs, %d of %d slots released", backend.runs(), broker.released, broker.acquired)
 	}
 }
+
+// An answer that is cut must be told from a refusal in the log.
+func TestCutAnswerIsLogged(t *testing.T) {
+	var lines bytes.Buffer
+	backend := &fakeBackend{results: []ports.RunResult{runResult(outcome.Ran, outcome.ReasonConnectionBroken)}, beginsFailed: true}
+	executor := NewExecutor(Params{
+		Logger: &log.Logger{Writer: &log.IOWriter{Writer: &lines}}, Scope: tally.NoopScope, Broker: &fakeBroker{},
+		Backends: Backends{configuration.ServiceKindPlain: backend}, Keys: newFakeKeys(), MaxAnswerBytes: 1 << 10,
+	})
+	executor.Execute(context.Background(), newCall("r1", false), new(fakeSink))
+	for _, want := range []string{`"event":"call-given-up"`, `"cause":"not-allowed"`, `"cut":true`} {
+		if !strings.Contains(lines.String(), want) {
+			t.Errorf("the log lacks %s: %s", want, lines.String())
+		}
+	}
+}
--- a/internal/app/execution/reporter.go
+++ b/internal/app/execution/reporter.go
@@ -17,6 +17,7 @@
 	eventPlaced  = "call-placed"
 	eventRan     = "call-ran"
 	eventRetried = "call-retried"
+	eventGivenUp = "call-given-up"
 	eventEnded   = "call-ended"
 )
 
@@ -29,6 +30,7 @@
 	refusals          *metrics.CounterVec
 	retries           *metrics.CounterVec
 	retriesOverBudget *metrics.CounterVec
+	answersCut        *metrics.CounterVec
 	queueTimes        *metrics.DurationHistogramVec
 	firstByteTimes    *metrics.DurationHistogramVec
 	longestPauses     *metrics.DurationHistogramVec
@@ -43,6 +45,7 @@
 		refusals:          metrics.NewCounterVec(scope, "refusals", "reason", "service", "run"),
 		retries:           metrics.NewCounterVec(scope, "retries", "reason", "service"),
 		retriesOverBudget: metrics.NewCounterVec(scope, "retries_over_budget", "reason", "service"),
+		answersCut:        metrics.NewCounterVec(scope, "answers_cut", "reason", "service"),
 		queueTimes:        metrics.NewDurationHistogramVec(scope, "queue_seconds", "service"),
 		firstByteTimes:    metrics.NewDurationHistogramVec(scope, "first_byte_seconds", "service"),
 		longestPauses:     metrics.NewDurationHistogramVec(scope, "longest_pause_seconds", "service"),
@@ -93,15 +96,40 @@
 		Str("reason", string(last.Reason)).Str("detail", last.Detail).Dur("wait", wait).Msg("")
 }
 
-// retryBudgetExhausted reports that a call is not retried because the retry budget of
-// its service is exhausted.
-func (r *callReporter) retryBudgetExhausted(call *ports.Call, last ports.RunResult) {
-	r.retriesOverBudget.Inc(string(last.Reason), string(call.Service))
+// giveUpCause is why a failed try is not followed by another one.
+type giveUpCause string
+
+const (
+	// giveUpNotAllowed means that another try is not safe or has no prospect: see
+	// retry.Decide.
+	giveUpNotAllowed giveUpCause = "not-allowed"
+	// giveUpBudget means that the retry budget of the service is exhausted.
+	giveUpBudget giveUpCause = "budget"
+	// giveUpDeadline means that the backoff would last beyond the deadline.
+	giveUpDeadline giveUpCause = "deadline"
+)
+
+// callGivenUp reports that a failed try of a call is not followed by another one.
+func (r *callReporter) callGivenUp(call *ports.Call, last ports.RunResult, cause giveUpCause) {
+	if cause == giveUpBudget {
+		r.retriesOverBudget.Inc(string(last.Reason), string(call.Service))
+	}
+	if !r.limiter.Allow(eventGivenUp, string(cause)+" "+string(last.Reason)) {
+		return
+	}
+	r.log.Info().Str("event", eventGivenUp).Str("request", string(call.ID)).Str("service", string(call.Service)).
+		Str("reason", string(last.Reason)).Str("cause", string(cause)).Int("lastEvent", call.LastEventID).
+		Int("failedTries", len(call.FailedServers)).Msg("")
 }
 
-// callEnded reports how a call ended.
-func (r *callReporter) callEnded(now time.Time, call *ports.Call, result outcome.Result) {
+// callEnded reports how a call ended. begun says that the caller may have received a
+// part of the answer; a refusal then cuts the answer.
+func (r *callReporter) callEnded(now time.Time, call *ports.Call, result outcome.Result, begun bool) {
 	refusal := result.Refusal
+	cut := refusal != nil && begun
+	if cut {
+		r.answersCut.Inc(string(refusal.Reason), string(call.Service))
+	}
 	if refusal == nil {
 		refusal = &outcome.Refusal{}
 	} else {
@@ -117,5 +145,5 @@
 		Str("workspace", string(call.Workspace)).Str("service", string(call.Service)).Str("class", string(call.Class)).
 		Uint64("revision", uint64(call.Revision)).Str("run", string(result.End)).
 		Str("reason", string(refusal.Reason)).Str("detail", refusal.Detail).Dur("retryAfter", refusal.RetryAfter).
-		Int("failedTries", len(call.FailedServers)).Dur("took", took).Msg("")
+		Bool("cut", cut).Int("failedTries", len(call.FailedServers)).Dur("took", took).Msg("")
 }
--- a/internal/app/execution/retryloop.go
+++ b/internal/app/execution/retryloop.go
@@ -155,14 +155,16 @@
 		Tries: r.tries, SentTries: r.sentTries, TimeLeft: r.call.Deadline.Sub(now),
 	})
 	if decision == retry.GiveUp {
+		r.executor.reporter.callGivenUp(r.call, last, giveUpNotAllowed)
 		return false
 	}
 	if decision == retry.Budgeted && !r.executor.budgets.allowRetry(r.call.Service, now) {
-		r.executor.reporter.retryBudgetExhausted(r.call, last)
+		r.executor.reporter.callGivenUp(r.call, last, giveUpBudget)
 		return false
 	}
 	wait := r.nextBackoff()
 	if wait >= r.call.Deadline.Sub(now) {
+		r.executor.reporter.callGivenUp(r.call, last, giveUpDeadline)
 		return false
 	}
 	r.executor.reporter.callRetried(r.call, last, wait)
