Abandon a silent run only for another try that is possible

What callers saw: a stream that a daemon had passed on to a sound backend server ended without its end, neither whole nor refused, when the server sent nothing for more than 1.3 s and then went on.

Cause: the silence timeout closed the connection first, and whether the stream could go on elsewhere was asked afterwards. All streams of the server were closed at the same moment; each that found the route's sends used up, the retry budget exhausted, no slot, or another server that declined could only be cut, since its answer had begun. Class: a working resource is given up before its replacement is secured.

Change: a silent run is abandoned only if another try is allowed (retry.MayAbandonSilent), has a slot (dispatch TryAcquire) and the budget; else it goes on and is considered again every 200 ms. A stream isn't moved before its caller's patience requires it: callers leave after the longest of 2 s, four targets and eight pauses, and 0.7 s of that is kept for the resumption. The pause of a second or so therefore moves nothing.

Why it works: a stream ends without its end only where the server broke off or a deadline passed.

--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -40,8 +40,11 @@
 	SilenceTimeout time.Duration
 	// ShouldCloseSilent decides whether to close a connection that has received
 	// nothing for the given time. It is called on another goroutine, and again
-	// after each further SilenceTimeout. If it is nil, the connection is closed.
+	// after each further SilenceRecheck. If it is nil, the connection is closed.
 	ShouldCloseSilent func(silence time.Duration) bool
+	// SilenceRecheck is the time between two calls of ShouldCloseSilent; zero for
+	// SilenceTimeout.
+	SilenceRecheck time.Duration
 }
 
 // Exchange is a request whose answer's header was received and whose body is
@@ -214,6 +217,7 @@
 type silenceWatchdog struct {
 	conn        *trackedConn
 	timeout     time.Duration
+	recheck     time.Duration
 	shouldClose func(silence time.Duration) bool
 
 	mu    sync.Mutex
@@ -226,7 +230,12 @@
 // startSilenceWatchdog starts the watchdog of a request. With a timeout of zero
 // it does nothing.
 func startSilenceWatchdog(conn *trackedConn, request *Request) *silenceWatchdog {
-	w := &silenceWatchdog{conn: conn, timeout: request.SilenceTimeout, shouldClose: request.ShouldCloseSilent}
+	w := &silenceWatchdog{
+		conn: conn, timeout: request.SilenceTimeout, recheck: request.SilenceRecheck, shouldClose: request.ShouldCloseSilent,
+	}
+	if w.recheck <= 0 {
+		w.recheck = w.timeout
+	}
 	if w.timeout <= 0 {
 		w.stopped = true
 		return w
@@ -245,10 +254,14 @@
 		w.reschedule(w.timeout - silence)
 		return
 	}
-	if w.firedLate(now) || w.shouldClose != nil && !w.shouldClose(silence) {
+	if w.firedLate(now) {
 		w.reschedule(w.timeout)
 		return
 	}
+	if w.shouldClose != nil && !w.shouldClose(silence) {
+		w.reschedule(w.recheck)
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.stopped {
--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -71,6 +71,19 @@
 	return w.result()
 }
 
+// TryAcquire implements ports.ImmediateSlotBroker.
+func (m *Manager) TryAcquire(call *ports.Call) (ports.Slot, bool) {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	w := &waiter{call: call, work: core.WorkOf(call), waitingSince: now, done: make(chan struct{})}
+	m.mergePeerLoads(now)
+	if !m.tryResolve(now, w, (*core.Pool).Choose) || w.slot == nil {
+		return nil, false
+	}
+	return w.slot, true
+}
+
 func (w *waiter) result() (ports.Slot, error) {
 	if w.refusal != nil {
 		return nil, w.refusal
--- a/internal/app/execution/reporter.go
+++ b/internal/app/execution/reporter.go
@@ -18,6 +18,7 @@
 	eventRan     = "call-ran"
 	eventRetried = "call-retried"
 	eventGivenUp = "call-given-up"
+	eventKept    = "silent-run-kept"
 	eventEnded   = "call-ended"
 )
 
@@ -31,6 +32,7 @@
 	retries           *metrics.CounterVec
 	retriesOverBudget *metrics.CounterVec
 	answersCut        *metrics.CounterVec
+	silentTriesKept   *metrics.CounterVec
 	queueTimes        *metrics.DurationHistogramVec
 	firstByteTimes    *metrics.DurationHistogramVec
 	longestPauses     *metrics.DurationHistogramVec
@@ -45,6 +47,7 @@
 		refusals:          metrics.NewCounterVec(scope, "refusals", "reason", "service", "run"),
 		retries:           metrics.NewCounterVec(scope, "retries", "reason", "service"),
 		retriesOverBudget: metrics.NewCounterVec(scope, "retries_over_budget", "reason", "service"),
+		silentTriesKept:   metrics.NewCounterVec(scope, "silent_runs_kept", "cause", "service"),
 		answersCut:        metrics.NewCounterVec(scope, "answers_cut", "reason", "service"),
 		queueTimes:        metrics.NewDurationHistogramVec(scope, "queue_seconds", "service"),
 		firstByteTimes:    metrics.NewDurationHistogramVec(scope, "first_byte_seconds", "service"),
@@ -122,6 +125,28 @@
 		Int("failedTries", len(call.FailedServers)).Msg("")
 }
 
+// keptCause is why a try whose connection is silent is not abandoned.
+type keptCause string
+
+const (
+	// keptNotAllowed means that another try is not allowed: see retry.MayAbandonSilent.
+	keptNotAllowed keptCause = "not-allowed"
+	// keptNoSlot means that no other backend server can take the call.
+	keptNoSlot keptCause = "no-slot"
+	// keptBudget means that the retry budget of the service is exhausted.
+	keptBudget keptCause = "budget"
+)
+
+// silentTryKept reports that a try goes on although its connection is silent.
+func (r *callReporter) silentTryKept(call *ports.Call, silence time.Duration, cause keptCause) {
+	r.silentTriesKept.Inc(string(cause), string(call.Service))
+	if !r.limiter.Allow(eventKept, string(cause)) {
+		return
+	}
+	r.log.Info().Str("event", eventKept).Str("request", string(call.ID)).Str("service", string(call.Service)).
+		Str("cause", string(cause)).Dur("silence", silence).Msg("")
+}
+
 // callEnded reports how a call ended. begun says that the caller may have received a
 // part of the answer; a refusal then cuts the answer.
 func (r *callReporter) callEnded(now time.Time, call *ports.Call, result outcome.Result, begun bool) {
--- a/internal/app/execution/retryloop.go
+++ b/internal/app/execution/retryloop.go
@@ -34,7 +34,9 @@
 	tries int
 	// sentTries counts the tries in which the request may have left this daemon.
 	sentTries int
-	backoff   *backoff.ExponentialBackOff
+	// nextSlot is the slot of the next try if the last one was abandoned for it.
+	nextSlot ports.Slot
+	backoff  *backoff.ExponentialBackOff
 }
 
 // run tries the call until it has an answer or must not be retried.
@@ -48,6 +50,10 @@
 		if last.Reason == "" {
 			return outcome.Result{End: last.End}
 		}
+		if r.nextSlot != nil {
+			r.executor.reporter.callRetried(r.call, last, 0)
+			continue
+		}
 		if !r.waitForRetry(ctx, last) {
 			return r.giveUp(last)
 		}
@@ -71,7 +77,7 @@
 // tryOnce acquires a slot and runs the call once. It returns a refusal if the call was
 // not sent, because there was no slot or its caller or deadline was gone.
 func (r *retryLoop) tryOnce(ctx context.Context) (ports.RunResult, *outcome.Refusal) {
-	slot, err := r.executor.broker.Acquire(ctx, r.call)
+	slot, err := r.acquire(ctx)
 	if err != nil {
 		return ports.RunResult{}, refusalFromError(err)
 	}
@@ -87,12 +93,37 @@
 	defer cancel()
 	call := r.callForTry()
 	call.CacheHolder = slot.GrantDetails().CacheHolder
+	silent := r.newSilentTry(server)
+	call.MayAbandonSilent = silent.mayAbandon
 	result := r.backend.Run(runCtx, call, server, r.sink, slot.Progress)
 	slot.Release(result.Report)
 	r.recordTry(server, result)
+	r.keepNextSlot(silent.end(), result)
 	return result, nil
 }
 
+// acquire returns the slot that the last try was abandoned for, or a new one.
+func (r *retryLoop) acquire(ctx context.Context) (ports.Slot, error) {
+	if slot := r.nextSlot; slot != nil {
+		r.nextSlot = nil
+		return slot, nil
+	}
+	return r.executor.broker.Acquire(ctx, r.call)
+}
+
+// keepNextSlot keeps the slot of the next try if the run was abandoned for it, and else
+// releases it: the run may have ended otherwise just before.
+func (r *retryLoop) keepNextSlot(slot ports.Slot, result ports.RunResult) {
+	if slot == nil {
+		return
+	}
+	if result.Reason != outcome.ReasonConnectionSilent {
+		slot.Release(ports.RunReport{})
+		return
+	}
+	r.nextSlot = slot
+}
+
 func slotDetail(server ports.VM, details ports.GrantDetails) string {
 	return fmt.Sprintf("server=%s granter=%s waited=%s ahead=%d contenders=%d",
 		server.Name, details.Granter, details.Waited, details.CallsAhead, details.ContendingWorkspaces)
@@ -149,11 +180,9 @@
 // returns true, or false when ctx is done first.
 func (r *retryLoop) waitForRetry(ctx context.Context, last ports.RunResult) bool {
 	now := time.Now()
-	decision := retry.Decide(retry.FailedTry{
-		End: last.End, Reason: last.Reason, MaybeSent: maybeSent(last), AnswerBegun: r.sink.Begun(),
-		Repeatable: r.call.Repeatable, Resumable: r.call.Resumable, MaxSends: r.call.MaxServers,
-		Tries: r.tries, SentTries: r.sentTries, TimeLeft: r.call.Deadline.Sub(now),
-	})
+	try := r.failedTry(last, r.sink.Begun())
+	try.TimeLeft = r.call.Deadline.Sub(now)
+	decision := retry.Decide(try)
 	if decision == retry.GiveUp {
 		r.executor.reporter.callGivenUp(r.call, last, giveUpNotAllowed)
 		return false
@@ -172,6 +201,15 @@
 	return pause.For(ctx, wait)
 }
 
+// failedTry describes the last try for the retry decision, except for TimeLeft.
+func (r *retryLoop) failedTry(last ports.RunResult, begun bool) retry.FailedTry {
+	return retry.FailedTry{
+		End: last.End, Reason: last.Reason, MaybeSent: maybeSent(last), AnswerBegun: begun,
+		Repeatable: r.call.Repeatable, Resumable: r.call.Resumable, MaxSends: r.call.MaxServers,
+		Tries: r.tries, SentTries: r.sentTries,
+	}
+}
+
 func (r *retryLoop) nextBackoff() time.Duration {
 	if r.backoff == nil {
 		r.backoff = backoff.NewExponentialBackOff()
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -69,6 +69,11 @@
 	Revision configuration.RevisionNumber
 	// FailedServers are the backend servers on which a try failed.
 	FailedServers []VMName
+	// MayAbandonSilent decides whether a run whose connection has brought no byte
+	// for the given time is abandoned. It returns true only if another try can take
+	// its place. It is safe for concurrent use and is set for each run; nil for
+	// never.
+	MayAbandonSilent func(silence time.Duration) bool
 }
 
 // Prompt describes the work of a call for a model engine.
@@ -138,6 +143,13 @@
 	Acquire(ctx context.Context, call *Call) (Slot, error)
 }
 
+// ImmediateSlotBroker is a SlotBroker that can grant slots without waiting.
+type ImmediateSlotBroker interface {
+	// TryAcquire returns a slot for a call that was sent before, or false if no
+	// backend server can take it now.
+	TryAcquire(call *Call) (Slot, bool)
+}
+
 // Slot is the right to run one call on one backend server. It is not safe for
 // concurrent use and must be released exactly once.
 type Slot interface {
