Soak: backend servers that pause, beside changes of the configuration

A soak with -silent-servers pauses servers for up to 1.8 s and changes the configuration, keys and settings; no call may then end without an answer before its deadline.

--- a/testbench/cmd/soak/main.go
+++ b/testbench/cmd/soak/main.go
@@ -3,7 +3,7 @@
 //
 // Usage:
 //
-//	soak [-seed N] [-seeds N] [-for 20s] [-daemons N] [-callers N] [-servers N] [-keep DIR] [-v]
+//	soak [-seed N] [-seeds N] [-for 20s] [-daemons N] [-callers N] [-servers N] [-silent-servers] [-keep DIR] [-v]
 //
 // Without -seed, the first seed is random. The exit code is 1 when a guarantee was
 // violated or a run could not be started; the logs of such a seed are kept.
@@ -32,6 +32,7 @@
 	daemons := flag.Int("daemons", 3, "the number of daemons")
 	callers := flag.Int("callers", 20, "the number of callers")
 	servers := flag.Int("servers", 3, "the number of backend servers of each service")
+	silentServers := flag.Bool("silent-servers", false, "only pause backend servers and change the configuration; no call may end without an answer")
 	keep := flag.String("keep", os.TempDir(), "the `directory` for the logs of failed seeds")
 	verbose := flag.Bool("v", false, "report each injected fault")
 	flag.Parse()
@@ -43,7 +44,8 @@
 	for i := range uint64(*seedCount) {
 		options := soak.Options{
 			Seed: *firstSeed + i, Daemons: *daemons, Callers: *callers, ServersPerService: *servers, FaultDuration: *faultDuration,
-			Directory: filepath.Join(*keep, fmt.Sprintf("soak-%d", *firstSeed+i)),
+			SilentServersOnly: *silentServers,
+			Directory:         filepath.Join(*keep, fmt.Sprintf("soak-%d", *firstSeed+i)),
 		}
 		if *verbose {
 			options.Logf = func(format string, values ...any) { fmt.Printf(format+"\n", values...) }
--- a/testbench/soak/backends.go
+++ b/testbench/soak/backends.go
@@ -58,7 +58,9 @@
 	service, zone string
 	checker       *checker
 	failureMode   atomic.Int32
-	closed        chan struct{}
+	// pausedUntil is the Unix time in nanoseconds until which the server sends nothing.
+	pausedUntil atomic.Int64
+	closed      chan struct{}
 }
 
 func newBackendServer(name, service, zone string, c *checker) *backendServer {
@@ -82,6 +84,16 @@
 	s.failureMode.Store(int32(mode))
 }
 
+// pauseFor makes the server send nothing for the duration.
+func (s *backendServer) pauseFor(duration time.Duration) {
+	s.pausedUntil.Store(time.Now().Add(duration).UnixNano())
+}
+
+// waitWhilePaused returns once the server may send.
+func (s *backendServer) waitWhilePaused() {
+	time.Sleep(time.Until(time.Unix(0, s.pausedUntil.Load())))
+}
+
 func (s *backendServer) handle(w http.ResponseWriter, r *http.Request) {
 	mode := failureMode(s.failureMode.Load())
 	if rand.IntN(2) == 0 {
@@ -107,6 +119,7 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
+	s.waitWhilePaused()
 	if s.service == "llm" {
 		s.sendStream(w, id, lastEvent, mode == truncateAnswer)
 		return
@@ -129,6 +142,7 @@
 		end = lastEvent + rand.IntN(streamEventCount-lastEvent+1)
 	}
 	for event := lastEvent + 1; event <= end; event++ {
+		s.waitWhilePaused()
 		_, _ = io.WriteString(w, streamEvent(id, event))
 		w.(http.Flusher).Flush()
 		time.Sleep(10 * time.Millisecond)
--- a/testbench/soak/callers.go
+++ b/testbench/soak/callers.go
@@ -26,6 +26,9 @@
 	client          *http.Client
 	// isKeyRevoked reports whether daemons must reject key-2.
 	isKeyRevoked func() bool
+	// mustBeAnswered says that no call may end without an answer or a refusal, unless
+	// its caller leaves.
+	mustBeAnswered bool
 }
 
 func (c *caller) run(ctx context.Context, group *sync.WaitGroup) {
@@ -63,10 +66,12 @@
 	c.checker.recordCall(id, kind, workspace)
 	response, err := c.client.Do(request)
 	if err != nil {
+		c.checkAnswered(ctx, id, err)
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
+	c.checkAnswered(ctx, id, err)
 	if revoked && response.StatusCode == http.StatusOK {
 		c.checker.addViolation("configuration: %s was served with a revoked key", id)
 	}
@@ -75,3 +80,12 @@
 	}
 	c.checker.recordAnswer(id, response.StatusCode, err == nil, string(body), expectedBody(kind, id), platformtest.HasSeal(response))
 }
+
+// checkAnswered records a violation if a call that must be answered ended with err before
+// its deadline. The deadline counts by the clock: its timer may fire later.
+func (c *caller) checkAnswered(ctx context.Context, id string, err error) {
+	deadline, _ := ctx.Deadline()
+	if c.mustBeAnswered && err != nil && time.Now().Before(deadline) {
+		c.checker.addViolation("lost: %s ended without an answer: %v", id, err)
+	}
+}
--- a/testbench/soak/faults.go
+++ b/testbench/soak/faults.go
@@ -36,7 +36,18 @@
 	{"invalid server object in the store", (*soakRun).addInvalidServer},
 }
 
+// silentServerFaults are the faults of a run with Options.SilentServersOnly. None of them
+// is a reason to end a call without an answer.
+var silentServerFaults = []fault{
+	{"backend server pauses", (*soakRun).pauseServer},
+	{"daemon settings reloaded", (*soakRun).reloadSettings},
+	{"configuration changed", (*soakRun).changeConfiguration},
+	{"key revoked", (*soakRun).revokeKey},
+}
+
 const (
+	// maxServerPause is the exclusive upper bound of a pause of a backend server.
+	maxServerPause = 1800 * time.Millisecond
 	// maxFaultInterval and maxFaultDuration are exclusive upper bounds of random times:
 	// from one fault to the next, and from a fault to its end.
 	maxFaultInterval = 1200 * time.Millisecond
@@ -52,8 +63,12 @@
 // injectFaults injects random faults for the duration in the options, and ends them.
 func (r *soakRun) injectFaults() {
 	var active []activeFault
+	candidates := faults
+	if r.options.SilentServersOnly {
+		candidates = silentServerFaults
+	}
 	for until := time.Now().Add(r.options.FaultDuration); time.Now().Before(until); {
-		chosen := faults[r.random.IntN(len(faults))]
+		chosen := candidates[r.random.IntN(len(candidates))]
 		r.options.Logf("seed %d: %s", r.options.Seed, chosen.name)
 		if end := chosen.inject(r); end != nil {
 			active = append(active, activeFault{endAt: time.Now().Add(r.randomDuration(maxFaultDuration)), end: end})
@@ -230,6 +245,12 @@
 	return func() { server.setFailureMode(noFailure) }
 }
 
+// pauseServer makes a backend server send nothing for a while. It then goes on.
+func (r *soakRun) pauseServer() func() {
+	r.randomServer().pauseFor(r.randomDuration(maxServerPause))
+	return nil
+}
+
 // replaceServer starts a backend server and takes another one of the same service out
 // of use: it sets the state of its object to draining, or removes the object.
 func (r *soakRun) replaceServer() func() {
--- a/testbench/soak/soak.go
+++ b/testbench/soak/soak.go
@@ -24,6 +24,9 @@
 	// FaultDuration is how long faults are injected. The recovery after the last fault
 	// takes additional time.
 	FaultDuration time.Duration
+	// SilentServersOnly limits the faults to pauses of backend servers and changes of
+	// the configuration and the settings. No call may then end without an answer.
+	SilentServersOnly bool
 	// Directory is an existing directory for the daemons' settings and logs.
 	Directory string
 	// Logf reports each injected fault. It may be nil.
@@ -210,8 +213,9 @@
 	for i := range r.options.Callers {
 		c := &caller{
 			name: fmt.Sprintf("c%d", i), checker: r.checker, daemonAddresses: addresses, isKeyRevoked: r.isKeyRevoked,
-			random: rand.New(rand.NewPCG(r.options.Seed, uint64(i)+100)),
-			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+			mustBeAnswered: r.options.SilentServersOnly,
+			random:         rand.New(rand.NewPCG(r.options.Seed, uint64(i)+100)),
+			client:         &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 		}
 		group.Add(1)
 		go c.run(ctx, group)
--- a/testbench/soak/soak_test.go
+++ b/testbench/soak/soak_test.go
@@ -47,6 +47,24 @@
 	}
 }
 
+// Backend servers that pause and go on, beside changes of the configuration, end no call
+// without an answer.
+func TestSilentServersLoseNoCalls(t *testing.T) {
+	result, err := Run(Options{
+		Seed: 1, Daemons: 3, Callers: 20, ServersPerService: 2, FaultDuration: 8 * time.Second, Directory: t.TempDir(),
+		SilentServersOnly: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, violation := range result.Violations {
+		t.Error(violation)
+	}
+	if result.CompletedCalls == 0 {
+		t.Error("no call was completed")
+	}
+}
+
 // A checker that misses violations would let every soak run pass.
 func TestCheckerDetectsViolations(t *testing.T) {
 	write, read := callKinds[3], callKinds[2]
