Keep a connection whose bytes this process has not read yet

What callers saw: streams of sound servers cut, or a second send, by a daemon that got little processor time, as while a large configuration is applied.

Cause: the silence watchdog judges by the last byte that this process has read, and never asks the kernel. Class: the own lateness is taken for another's silence. Change: bytes in the kernel's buffer put the check off.

--- a/internal/adapters/backendhttp/conn.go
+++ b/internal/adapters/backendhttp/conn.go
@@ -90,6 +90,12 @@
 	return state == tcpstate.Quiet || state == tcpstate.Unknown
 }
 
+// hasUnreadBytes reports whether the kernel holds bytes that this process, if it gets
+// little processor time, has not read yet.
+func (c *trackedConn) hasUnreadBytes() bool {
+	return tcpstate.Peek(c.Conn) == tcpstate.Readable
+}
+
 // closeAsSilent closes the connection because it received nothing in time.
 func (c *trackedConn) closeAsSilent() {
 	c.closedAsSilent.Store(true)
--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -254,7 +254,7 @@
 		w.reschedule(w.timeout - silence)
 		return
 	}
-	if w.firedLate(now) {
+	if w.firedLate(now) || w.conn.hasUnreadBytes() {
 		w.reschedule(w.timeout)
 		return
 	}
