Take an answer whose status is none for a broken exchange

What callers saw: a request that was passed on, and a closed connection without an answer. Cause: net/http's client accepts a status of 000 or 099, its server panics when it is to write one; 101 went to the caller as a final answer. Class: bytes of a faulty server are relayed unchecked. Change: backendhttp ends an exchange whose status is below 200 with InvalidStatusError, so that all three kinds of backend retry or answer 502.

--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -104,9 +104,19 @@
 		}
 	}
 	exchange.Response = response
+	if response.StatusCode < minFinalStatus {
+		exchange.Abort()
+		return nil, &ExchangeError{
+			Address: request.Address, MaybeSent: true, Cause: &InvalidStatusError{Status: response.StatusCode},
+		}
+	}
 	return exchange, nil
 }
 
+// minFinalStatus is the lowest status of a final answer. net/http handles interim answers
+// itself and passes on what is none, which no HTTP server can relay.
+const minFinalStatus = 200
+
 // nonRewindableBody hides the type of the body. Otherwise net/http would set
 // Request.GetBody and could rewind the body to send the request again.
 type nonRewindableBody struct {
