Measure a connection's silence on the monotonic clock

Cause, by reading: the time of the last byte was stored as Unix time, so a step of the system clock by seconds made every connection look silent at its next check, or put the check off. Class: an interval is measured with the time of day.

--- a/internal/adapters/backendhttp/conn.go
+++ b/internal/adapters/backendhttp/conn.go
@@ -20,13 +20,16 @@
 	writesDisabled bool
 
 	closedAsSilent atomic.Bool
-	// lastReadNanos is the Unix time in nanoseconds of the last received byte, or
-	// of the start of the current request.
-	lastReadNanos atomic.Int64
+	// createdAt is the origin of lastRead. It has a monotonic reading, so that steps
+	// of the system clock don't count as silence.
+	createdAt time.Time
+	// lastRead is the time from createdAt to the last received byte, or to the start
+	// of the current request.
+	lastRead atomic.Int64
 }
 
 func newTrackedConn(conn net.Conn) *trackedConn {
-	return &trackedConn{Conn: conn}
+	return &trackedConn{Conn: conn, createdAt: time.Now()}
 }
 
 // beginRequest resets the records for a new request.
@@ -34,7 +37,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeStarted = false
-	c.lastReadNanos.Store(now.UnixNano())
+	c.recordRead(now)
+}
+
+func (c *trackedConn) recordRead(now time.Time) {
+	c.lastRead.Store(int64(now.Sub(c.createdAt)))
 }
 
 // disableWrites makes every later write fail and reports whether an earlier one
@@ -71,7 +78,7 @@
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.lastReadNanos.Store(time.Now().UnixNano())
+		c.recordRead(time.Now())
 	}
 	return n, err
 }
@@ -79,7 +86,7 @@
 // silentFor returns the time since the last received byte, or since the start of
 // the current request if that is later.
 func (c *trackedConn) silentFor(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - c.lastReadNanos.Load())
+	return now.Sub(c.createdAt) - time.Duration(c.lastRead.Load())
 }
 
 // isQuiet reports whether the connection is open and has no bytes to read, as far
