Keep a removed service's servers while calls of it are in progress

What callers saw: a stream that had begun and then broke was cut if its service had left the configuration meanwhile, although other servers of it were listed. Cause: dispatch deleted the pool with the service, and refused the retry. Class: a working resource is given up before those that need it are done. Change: the pool stays while this daemon has calls in progress there. New calls can't reach it, since no route names the service.

--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -169,14 +169,17 @@
 			m.pools[name] = pool
 		}
 		pool.SetService(service.Kind == configuration.ServiceKindEngine, service.MemoryTokens)
-		servers := m.directory.Servers(name)
-		m.logServerChanges(name, pool.VMs(), servers)
-		pool.SetServers(servers)
 	}
-	for name := range m.pools {
-		if _, ok := m.document.Services[name]; !ok {
+	for name, pool := range m.pools {
+		// The calls in progress of a service that has left the configuration may need
+		// another server to complete their answers.
+		if _, ok := m.document.Services[name]; !ok && !pool.HasCalls() {
 			delete(m.pools, name)
+			continue
 		}
+		servers := m.directory.Servers(name)
+		m.logServerChanges(name, pool.VMs(), servers)
+		pool.SetServers(servers)
 	}
 	m.resolveWaiters(time.Now())
 }
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -106,6 +106,11 @@
 	return vms
 }
 
+// HasCalls reports whether this daemon has calls in progress on the servers.
+func (p *Pool) HasCalls() bool {
+	return slices.ContainsFunc(p.servers, func(s *Server) bool { return s.ownLoad.Calls > 0 })
+}
+
 func (p *Pool) findServer(name ports.VMName) *Server {
 	at, ok := slices.BinarySearchFunc(p.servers, name, func(s *Server, name ports.VMName) int {
 		return cmp.Compare(s.vm.Name, name)
