Abandon a silent run only for a server that answers in time

Found by the review: TryAcquire admitted any server, also one with 84 s predicted to the first byte for a target of 4 s. Change: core/dispatch ChooseReplacement demands that the prediction is within the target or 0.7 s.

--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -78,7 +78,7 @@
 	defer m.mu.Unlock()
 	w := &waiter{call: call, work: core.WorkOf(call), waitingSince: now, done: make(chan struct{})}
 	m.mergePeerLoads(now)
-	if !m.tryResolve(now, w, (*core.Pool).Choose) || w.slot == nil {
+	if !m.tryResolve(now, w, (*core.Pool).ChooseReplacement) || w.slot == nil {
 		return nil, false
 	}
 	return w.slot, true
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -26,6 +26,10 @@
 	failureCostFactor = 2.0
 )
 
+// minReplacementWithin is the longest predicted time to the first byte with which a server
+// may take over a run, if the call's target is shorter.
+const minReplacementWithin = 700 * time.Millisecond
+
 // silentThreshold is the time without a first byte from which a server counts
 // as silent, however much is queued there.
 const silentThreshold = 1500 * time.Millisecond
@@ -172,6 +176,16 @@
 	return admittedOr(p.choose(now, work, terms))
 }
 
+// ChooseReplacement chooses a server for a call whose run is to be abandoned for it. It
+// returns false if the cheapest server is not expected to answer in time.
+//
+// Load pattern: while servers are silent, the others have long queues. A run that is moved
+// to the end of one answers no sooner, and is then moved again.
+func (p *Pool) ChooseReplacement(now time.Time, work *Work, terms AdmissionTerms) (Choice, bool) {
+	choice, ok := p.Choose(now, work, terms)
+	return choice, ok && choice.ExpectedFirstByte <= max(work.FirstTokenWithin, minReplacementWithin)
+}
+
 // admittedOr returns the choice best and true, or cheapest and false if best has no
 // server.
 func admittedOr(best, cheapest Choice) (Choice, bool) {
