Count no prompt prefix as cached for a slot that may stay unused

Found by the review: each slot that was tried for a silent run reported its prefix to the peers as cached, where nothing was sent.

--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -22,9 +22,11 @@
 	call         *ports.Call
 	work         core.Work
 	waitingSince time.Time
-	done         chan struct{}
-	slot         *slot
-	refusal      *outcome.Refusal
+	// replaces says that the call may take the place of a run that has not ended.
+	replaces bool
+	done     chan struct{}
+	slot     *slot
+	refusal  *outcome.Refusal
 }
 
 func (w *waiter) refuse(refusal *outcome.Refusal) {
@@ -76,7 +78,7 @@
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	w := &waiter{call: call, work: core.WorkOf(call), waitingSince: now, done: make(chan struct{})}
+	w := &waiter{call: call, work: core.WorkOf(call), waitingSince: now, replaces: true, done: make(chan struct{})}
 	m.mergePeerLoads(now)
 	if !m.tryResolve(now, w, (*core.Pool).ChooseReplacement) || w.slot == nil {
 		return nil, false
@@ -134,10 +136,14 @@
 	if w.work.ForEngine && len(w.call.FailedServers) == 0 {
 		m.shares.RecordGrant(now, w.call.Workspace, w.work.CostTokens())
 	}
+	book := pool.Book
+	if w.replaces {
+		book = pool.BookReplacement
+	}
 	s := &slot{
 		manager: m,
 		server:  choice.Server.VM(),
-		booking: pool.Book(now, choice, &w.work),
+		booking: book(now, choice, &w.work),
 		grantDetails: ports.GrantDetails{
 			Granter: m.directory.Self().Name, Waited: now.Sub(w.waitingSince),
 			ExpectedFirstByte: choice.ExpectedFirstByte, Overuse: m.overuse(now, w),
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -278,6 +278,15 @@
 // Book adds the call's load to the chosen server and returns the booking that
 // tracks it.
 func (p *Pool) Book(now time.Time, choice Choice, work *Work) *Booking {
+	booking := p.BookReplacement(now, choice, work)
+	p.prefixes.recordCall(now, hashPrefixID(work.PrefixID), work.PrefixTokens, choice.Server)
+	return booking
+}
+
+// BookReplacement does the same for a call that may not be sent after all, because the
+// run that it replaces may end first. The server doesn't count as one that has the prompt
+// prefix cached.
+func (p *Pool) BookReplacement(now time.Time, choice Choice, work *Work) *Booking {
 	server := choice.Server
 	promptTokens := choice.tokensToRead
 	booking := &Booking{
@@ -287,7 +296,6 @@
 	}
 	server.ownLoad = server.ownLoad.Add(booking.load)
 	server.pendingSince = append(server.pendingSince, now)
-	p.prefixes.recordCall(now, hashPrefixID(work.PrefixID), work.PrefixTokens, server)
 	return booking
 }
 
