Charge the retry budget only for retries that are made

Found by the review: a run that ended just before or after the decision to abandon it kept the budget of the retry that was prepared for it. Change: the charge is taken back with the slot, and made before a slot is looked for. TestUnmadeRetryIsNotCharged failed before (connection-broken refused for want of budget) and passes, with -race.

--- a/internal/app/execution/budgets.go
+++ b/internal/app/execution/budgets.go
@@ -37,6 +37,12 @@
 	return b.forService(service).AllowRetry(now, policy)
 }
 
+func (b *budgets) cancelRetry(service ports.ServiceName, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.forService(service).CancelRetry(now)
+}
+
 func (b *budgets) forService(service ports.ServiceName) *retry.Budget {
 	budget, ok := b.byService[service]
 	if !ok {
--- a/internal/app/execution/retryloop.go
+++ b/internal/app/execution/retryloop.go
@@ -118,7 +118,7 @@
 		return
 	}
 	if result.Reason != outcome.ReasonConnectionSilent {
-		slot.Release(ports.RunReport{})
+		r.executor.releaseUnused(r.call.Service, slot)
 		return
 	}
 	r.nextSlot = slot
--- a/internal/app/execution/silenttry.go
+++ b/internal/app/execution/silenttry.go
@@ -49,26 +49,41 @@
 		s.executor.reporter.silentTryKept(&s.call, silence, keptNotAllowed)
 		return false
 	}
-	slot, ok := broker.TryAcquire(&s.call)
-	if !ok {
-		s.executor.reporter.silentTryKept(&s.call, silence, keptNoSlot)
-		return false
+	if s.hasNext() {
+		return true
 	}
 	if !s.executor.budgets.allowRetry(s.call.Service, now) {
-		slot.Release(ports.RunReport{})
 		s.executor.reporter.silentTryKept(&s.call, silence, keptBudget)
 		return false
 	}
+	slot, ok := broker.TryAcquire(&s.call)
+	if !ok {
+		s.executor.budgets.cancelRetry(s.call.Service, now)
+		s.executor.reporter.silentTryKept(&s.call, silence, keptNoSlot)
+		return false
+	}
 	return s.setNext(slot)
 }
 
+func (s *silentTry) hasNext() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.next != nil
+}
+
+// releaseUnused gives back the slot and the budget of a retry that is not made.
+func (e *Executor) releaseUnused(service ports.ServiceName, slot ports.Slot) {
+	slot.Release(ports.RunReport{})
+	e.budgets.cancelRetry(service, time.Now())
+}
+
 // setNext stores the slot of the next try. If the run has ended meanwhile, it releases
 // the slot and returns false.
 func (s *silentTry) setNext(slot ports.Slot) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ended || s.next != nil {
-		slot.Release(ports.RunReport{})
+	if s.ended {
+		s.executor.releaseUnused(s.call.Service, slot)
 		return false
 	}
 	s.next = slot
--- a/internal/app/execution/silenttry_test.go
+++ b/internal/app/execution/silenttry_test.go
@@ -68,3 +68,22 @@
 		})
 	}
 }
+
+// A retry that was prepared for a silent run, and isn't made because the run ends, leaves
+// its budget to the next call.
+func TestUnmadeRetryIsNotCharged(t *testing.T) {
+	broker := &immediateBroker{fakeBroker: &fakeBroker{}, hasSlots: true}
+	backend := &fakeBackend{}
+	backend.onRun = func(_ context.Context, call *ports.Call) { call.MayAbandonSilent(time.Second) }
+	executor := NewExecutor(Params{
+		Logger: discardLogger(), Scope: tally.NoopScope, Broker: broker,
+		Backends: Backends{configuration.ServiceKindPlain: backend}, Keys: newFakeKeys(), MaxAnswerBytes: 1 << 10,
+		RetryPolicy: func() retry.Policy { return retry.Policy{MinRetries: 1} },
+	})
+	executor.Execute(context.Background(), newCall("r1", true), new(fakeSink))
+	backend.onRun = nil
+	backend.results = []ports.RunResult{runResult(outcome.Unknown, outcome.ReasonConnectionBroken)}
+	if result := executor.Execute(context.Background(), newCall("r2", true), new(fakeSink)); result.Refusal != nil {
+		t.Errorf("the only retry was charged to a run that ended: %v", result.Refusal)
+	}
+}
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -52,6 +52,13 @@
 	return true
 }
 
+// CancelRetry takes back a retry that was counted and then not made.
+func (b *Budget) CancelRetry(now time.Time) {
+	if counted := b.bucketAt(now); counted.retries > 0 {
+		counted.retries--
+	}
+}
+
 // bucketAt returns the bucket of the period that contains now. It clears the
 // bucket if it still holds an earlier period.
 func (b *Budget) bucketAt(now time.Time) *bucket {
