--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -272,6 +272,11 @@
 		w.reschedule(w.recheck)
 		return
 	}
+	if w.conn.silentFor(time.Now()) < w.timeout {
+		// A byte arrived during the decision.
+		w.reschedule(w.recheck)
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.stopped {
