--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -52,7 +52,7 @@
 		m.mu.Unlock()
 		return w.result()
 	}
-	if core.IsHeavyOveruse(m.overuse(now, w)) {
+	if !w.work.Resumes && core.IsHeavyOveruse(m.overuse(now, w)) {
 		// Workspaces within their share or slightly above it get the next room
 		// first.
 		refusal := m.noRoomRefusal(now, w)
--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -190,9 +190,20 @@
 	return s.meanFirstByteLimit * min(max(preference, minSizePreference), maxSizePreference)
 }
 
+// maxResumptionWait is how long a stream that has begun waits for a server that can
+// resume it: its caller leaves soon after.
+const maxResumptionWait = 1500 * time.Millisecond
+
 // MaxWait returns how long a call that finds no room waits for it. A call that
 // waited longer would be late even if it were sent then.
+//
+// Load pattern: the servers that could resume a broken stream have all just declined or
+// failed a call, and get none for some hundred milliseconds. A refusal would cut the
+// stream, so it waits longer than calls that have not begun.
 func MaxWait(work *Work) time.Duration {
+	if work.Resumes {
+		return maxResumptionWait
+	}
 	return time.Duration(maxWaitFraction * float64(work.FirstTokenWithin))
 }
 
--- a/internal/core/dispatch/load.go
+++ b/internal/core/dispatch/load.go
@@ -26,6 +26,8 @@
 	PauseWithin time.Duration
 	// FailedServers are the servers on which the call failed before.
 	FailedServers []ports.VMName
+	// Resumes says that the call continues a stream whose caller has events of it.
+	Resumes bool
 
 	// isLongPrompt is set by the pool.
 	isLongPrompt bool
@@ -35,7 +37,7 @@
 func WorkOf(call *ports.Call) Work {
 	work := Work{
 		Class: call.Class, FirstTokenWithin: call.FirstTokenBy.Sub(call.Arrived), PauseWithin: call.PauseWithin,
-		FailedServers: call.FailedServers,
+		FailedServers: call.FailedServers, Resumes: call.LastEventID > 0,
 	}
 	if prompt := call.Prompt; prompt != nil {
 		work.ForEngine = true
