Log the software version of servers and what a stream resumes

The log could not tell a caller's own resumption at another version from a daemon's retry within one answer, because no line named the version of the server, the event after which a stream goes on, or the attempt that the caller names.

No decision uses them yet.

--- a/internal/app/dispatch/logging.go
+++ b/internal/app/dispatch/logging.go
@@ -43,5 +43,6 @@
 
 func (m *Manager) logServerEvent(event string, service ports.ServiceName, vm ports.VM, version uint64) {
 	m.logger.Info().Str("event", event).Str("server", string(vm.Name)).Str("service", string(service)).
-		Str("domain", string(vm.Domain)).Str("address", vm.Address).Uint64("listVersion", version).Msg("")
+		Str("domain", string(vm.Domain)).Str("address", vm.Address).
+		Str("softwareVersion", vm.SoftwareVersion).Uint64("listVersion", version).Msg("")
 }
--- a/internal/app/execution/reporter.go
+++ b/internal/app/execution/reporter.go
@@ -60,6 +60,8 @@
 	r.log.Info().Str("event", eventPlaced).Str("request", string(call.ID)).
 		Str("workspace", string(call.Workspace)).Str("service", string(call.Service)).Str("class", string(call.Class)).
 		Uint64("revision", uint64(call.Revision)).Str("server", string(server.Name)).
+		Str("softwareVersion", server.SoftwareVersion).Int("resumesAfter", call.LastEventID).
+		Str("resumes", string(call.Resumes)).
 		Str("domain", string(server.Domain)).Int("failedBefore", len(call.FailedServers)).
 		Dur("waited", details.Waited).Dur("expected", details.ExpectedFirstByte).Float64("overuse", details.Overuse).
 		Str("holder", details.CacheHolder).Msg("")
@@ -78,6 +80,8 @@
 		return
 	}
 	r.log.Info().Str("event", eventRan).Str("request", string(call.ID)).Str("server", string(server.Name)).
+		Str("softwareVersion", server.SoftwareVersion).Int("resumesAfter", call.LastEventID).
+		Str("resumes", string(call.Resumes)).
 		Str("run", string(result.End)).Str("reason", string(result.Reason)).
 		Dur("firstByteAfter", result.Report.FirstByteAfter).Int("lastEvent", result.LastEventID).
 		Str("detail", result.Detail).Msg("")
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -52,6 +52,9 @@
 	// LastEventID is the ID of the last event that the caller has received; zero
 	// for none.
 	LastEventID int
+	// Resumes is the ID of the caller's earlier call that brought the first event of
+	// the stream that this call resumes; empty for none.
+	Resumes RequestID
 	// PauseWithin is the target for the pauses between the events of a stream;
 	// zero for none.
 	PauseWithin time.Duration
--- a/internal/ports/vm.go
+++ b/internal/ports/vm.go
@@ -28,6 +28,9 @@
 	// Unix epoch; zero if unknown. A server that was started again under the same
 	// name has none of its earlier state.
 	StartedMillis int64 `json:"started,omitempty"`
+	// SoftwareVersion is the version of a backend server's software; empty if
+	// unknown. Servers of several versions may serve side by side in one service.
+	SoftwareVersion string `json:"softwareVersion,omitempty"`
 	// Leaving is true once the platform plans to remove the VM.
 	Leaving bool `json:"leaving,omitempty"`
 }
