--- a/internal/core/outcome/reason.go
+++ b/internal/core/outcome/reason.go
@@ -40,5 +40,7 @@
 	ReasonIdempotencyUnavailable Reason = "idempotency-unavailable" // the idempotency key can't be recorded now
 	ReasonIdempotencyInProgress  Reason = "idempotency-in-progress" // another attempt with the key is running
 	ReasonOutcomeUnknown         Reason = "outcome-unknown"
+	ReasonStreamOriginUnknown    Reason = "stream-origin-unknown" // the software version that began the stream is unknown
+	ReasonSoftwareVersionGone    Reason = "software-version-gone" // no server of the version that began the stream is left
 	ReasonInternal               Reason = "internal"
 )
--- a/internal/core/placement/rendezvous.go
+++ b/internal/core/placement/rendezvous.go
@@ -5,6 +5,9 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"hawthornstream/internal/ports"
@@ -74,6 +77,33 @@
 	return owner, found
 }
 
+// HighestInDomains returns the daemons with the highest scores for the key, highest
+// first, at most perDomain of each failure domain.
+func (r *RendezvousHash) HighestInDomains(key string, perDomain int) []ports.VM {
+	keyHash := xxhash.Sum64String(key)
+	ranked := make([]rankedDaemon, 0, len(r.daemons))
+	for i, daemon := range r.daemons {
+		ranked = append(ranked, rankedDaemon{vm: daemon, score: mix64(r.nameHashes[i] ^ keyHash)})
+	}
+	slices.SortFunc(ranked, func(a, b rankedDaemon) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.vm.Name, b.vm.Name))
+	})
+	counts := make(map[ports.FailureDomain]int)
+	var highest []ports.VM
+	for _, daemon := range ranked {
+		if counts[daemon.vm.Domain] < perDomain {
+			counts[daemon.vm.Domain]++
+			highest = append(highest, daemon.vm)
+		}
+	}
+	return highest
+}
+
+type rankedDaemon struct {
+	vm    ports.VM
+	score uint64
+}
+
 // mix64 is the finalizer of splitmix64. It spreads the bits of the combined hash
 // of a daemon's name and a key.
 func mix64(h uint64) uint64 {
