Resume streams only at the software version that began them

Cause: a resumption was placed like a new call. Neither the daemon's own retry within an answer nor a caller's resumption at any daemon knew the version of the server that sent the first event.

The first event that reaches the caller now fixes the version for later tries of the call.

Resumptions are admitted like retries: their work has begun, and fewer servers may take them.

TestResumptionsUnderLoadGoOnLikeNewStreams fails if resumptions are admitted like new calls (10 of 30 streams begin, 2 of 30 go on).

--- a/internal/adapters/peer/meter.go
+++ b/internal/adapters/peer/meter.go
@@ -57,6 +57,9 @@
 	ports.KindIdempotencyBegin:    "idempotency-begin",
 	ports.KindIdempotencyFinish:   "idempotency-finish",
 	ports.KindIdempotencyReply:    "idempotency-reply",
+	ports.KindStreamOriginRecords: "stream-origin-records",
+	ports.KindStreamOriginQuery:   "stream-origin-query",
+	ports.KindStreamOriginAnswer:  "stream-origin-answer",
 }
 
 func kindName(kind ports.MessageKind) string {
--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -40,8 +40,16 @@
 	if !now.Before(call.Deadline) {
 		return nil, deadlineRefusal()
 	}
-	m.mu.Lock()
 	w := &waiter{call: call, work: core.WorkOf(call), waitingSince: now, done: make(chan struct{})}
+	if call.IsResumption() && len(call.FailedServers) == 0 {
+		version, refusal := m.resolveResumption(ctx, call)
+		if refusal != nil {
+			return nil, refusal
+		}
+		w.work.SoftwareVersion = version
+		now = time.Now()
+	}
+	m.mu.Lock()
 	if w.work.ForEngine && len(call.FailedServers) == 0 {
 		m.shares.RecordDemand(now, call.Workspace, w.work.CostTokens()*max(call.DemandWeight, 1))
 	}
@@ -93,6 +101,10 @@
 		w.refuse(noServerRefusal("no backend server of the service is known"))
 		return true
 	}
+	if w.work.SoftwareVersion != "" && !pool.HasServerFor(&w.work) {
+		w.refuse(versionGoneRefusal("no other backend server has the software version of the stream"))
+		return true
+	}
 	choice, ok := choose(pool, now, &w.work, m.admissionTerms(now, w))
 	if !ok {
 		return false
@@ -105,8 +117,9 @@
 func (m *Manager) admissionTerms(now time.Time, w *waiter) core.AdmissionTerms {
 	overuse := m.overuse(now, w)
 	return core.AdmissionTerms{
-		Waited: now.Sub(w.call.Arrived), Overuse: overuse, AlwaysAdmit: len(w.call.FailedServers) > 0,
-		Capped: overuse > 1 && m.shares.IsCapped(w.call.Workspace, m.shareTarget),
+		Waited: now.Sub(w.call.Arrived), Overuse: overuse,
+		AlwaysAdmit: len(w.call.FailedServers) > 0 || w.call.IsResumption(),
+		Capped:      overuse > 1 && m.shares.IsCapped(w.call.Workspace, m.shareTarget),
 	}
 }
 
@@ -123,6 +136,7 @@
 	}
 	s := &slot{
 		manager: m,
+		call:    w.call,
 		server:  choice.Server.VM(),
 		booking: pool.Book(now, choice, &w.work),
 		grantDetails: ports.GrantDetails{
@@ -154,9 +168,12 @@
 	m.waiters = slices.DeleteFunc(m.waiters, func(w *waiter) bool { return m.tryResolve(now, w, (*core.Pool).Choose) })
 }
 
-func (m *Manager) lockAndResolveWaiters(now time.Time) {
+// lockAndUpdate does what depends on the time alone.
+func (m *Manager) lockAndUpdate(now time.Time) {
+	isFresh := m.lists.isFresh(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.observeVersions(now, isFresh)
 	m.resolveWaiters(now)
 }
 
--- a/internal/app/dispatch/acquire_test.go
+++ b/internal/app/dispatch/acquire_test.go
@@ -16,9 +16,10 @@
 	"hawthornstream/internal/ports"
 )
 
-// fakeEnvironment is a fleet of one daemon with one engine.
+// fakeEnvironment is a fleet of one daemon with one engine, or with the given servers.
 type fakeEnvironment struct {
 	configuration *ports.Configuration
+	servers       []ports.VM
 }
 
 func (s *fakeEnvironment) Self() ports.VM                             { return ports.VM{Name: "d1", Domain: "z1"} }
@@ -33,6 +34,9 @@
 }
 
 func (s *fakeEnvironment) Servers(ports.ServiceName) []ports.VM {
+	if s.servers != nil {
+		return s.servers
+	}
 	return []ports.VM{{Name: "e1", Service: "llm", Domain: "z1", Slots: 1}}
 }
 
@@ -46,9 +50,9 @@
 func (fakeDirectory) OnChange(func())                               {}
 func (fakeConfigurationSource) OnChange(func(*ports.Configuration)) {}
 
-func newTestManager(t *testing.T) *Manager {
+func newTestManager(t *testing.T, servers ...ports.VM) *Manager {
 	t.Helper()
-	environment := &fakeEnvironment{configuration: &ports.Configuration{Document: configuration.Document{
+	environment := &fakeEnvironment{servers: servers, configuration: &ports.Configuration{Document: configuration.Document{
 		Services: map[ports.ServiceName]configuration.Service{"llm": {Kind: configuration.ServiceKindEngine}},
 		Limits:   configuration.Limits{TokensPerSecond: 10_000},
 	}}}
--- a/internal/app/dispatch/lists.go
+++ b/internal/app/dispatch/lists.go
@@ -110,6 +110,17 @@
 	m.lists.feed.SetWatching(m.lists.shouldWatch(now, len(daemons), rank))
 }
 
+// isFresh reports whether this daemon or another one that reports its list watches the
+// platform's list.
+func (l *listExchange) isFresh(now time.Time) bool {
+	if l.feed == nil || l.feed.Digest().Watching {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.watcherReportedAt) < watcherReportLifetime
+}
+
 // shouldWatch reports whether to watch the list, in a fleet with the given
 // number of daemons, of which rank in this failure domain precede this one.
 // During the startup period the others are not known yet: the list is read
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -16,9 +16,11 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 
+	"hawthornstream/internal/adapters/logging"
 	"hawthornstream/internal/adapters/metrics"
 	"hawthornstream/internal/core/configuration"
 	core "hawthornstream/internal/core/dispatch"
+	"hawthornstream/internal/core/streamorigin"
 	"hawthornstream/internal/ports"
 )
 
@@ -50,21 +52,26 @@
 // Manager implements ports.SlotBroker. It is safe for concurrent use.
 type Manager struct {
 	logger           *log.Logger
+	limiter          *logging.Limiter
 	exclusionCounter *metrics.CounterVec
-	directory        ports.Directory
-	transport        ports.PeerTransport
-	configuration    ports.ConfigurationSource
-	lists            *listExchange
-	changeSignal     chan struct{}
-	stop             chan struct{}
-	stopOnce         sync.Once
-	loops            sync.WaitGroup
+	// resumptionCounter counts the streams that callers resume.
+	resumptionCounter *metrics.CounterVec
+	directory         ports.Directory
+	transport         ports.PeerTransport
+	configuration     ports.ConfigurationSource
+	lists             *listExchange
+	origins           *originExchange
+	changeSignal      chan struct{}
+	stop              chan struct{}
+	stopOnce          sync.Once
+	loops             sync.WaitGroup
 
 	// mu guards everything below.
 	mu                sync.Mutex
 	stopping          bool
 	document          *configuration.Document
 	pools             map[ports.ServiceName]*core.Pool
+	versionHistories  map[ports.ServiceName]*streamorigin.VersionHistory
 	shares            *core.ShareTracker
 	waiters           []*waiter
 	waitersResolvedAt time.Time
@@ -77,18 +84,22 @@
 // does nothing else before Run.
 func NewManager(p Params) *Manager {
 	m := &Manager{
-		logger:           p.Logger,
-		exclusionCounter: metrics.NewCounterVec(p.Scope.SubScope("dispatch"), "servers_excluded", "service", "fault"),
-		directory:        p.Directory,
-		transport:        p.Transport,
-		configuration:    p.Configuration,
-		lists:            newListExchange(p.List),
-		changeSignal:     make(chan struct{}, 1),
-		stop:             make(chan struct{}),
-		document:         &configuration.Document{},
-		pools:            make(map[ports.ServiceName]*core.Pool),
-		shares:           core.NewShareTracker(),
-		peerReports:      make(map[core.Source]*core.PeerReports),
+		logger:            p.Logger,
+		limiter:           logging.NewLimiter(p.Logger),
+		exclusionCounter:  metrics.NewCounterVec(p.Scope.SubScope("dispatch"), "servers_excluded", "service", "fault"),
+		resumptionCounter: metrics.NewCounterVec(p.Scope.SubScope("dispatch"), "stream_resumptions", "service", "source", "reason"),
+		directory:         p.Directory,
+		transport:         p.Transport,
+		configuration:     p.Configuration,
+		lists:             newListExchange(p.List),
+		origins:           newOriginExchange(p.Directory, p.Transport),
+		changeSignal:      make(chan struct{}, 1),
+		stop:              make(chan struct{}),
+		document:          &configuration.Document{},
+		pools:             make(map[ports.ServiceName]*core.Pool),
+		versionHistories:  make(map[ports.ServiceName]*streamorigin.VersionHistory),
+		shares:            core.NewShareTracker(),
+		peerReports:       make(map[core.Source]*core.PeerReports),
 	}
 	p.Transport.Handle(ports.KindLoad,
 		func() ports.Message { return &ports.LoadMessage{} },
@@ -104,6 +115,7 @@
 // Run starts the manager's loop. It does not block.
 func (m *Manager) Run() {
 	m.loops.Go(m.runLoop)
+	m.loops.Go(func() { m.origins.run(m.stop) })
 }
 
 // Stop refuses the waiting calls and waits for the loop to end. It may be
@@ -141,7 +153,7 @@
 			m.refresh()
 		case now := <-reportTimer.C:
 			period := m.sendLoadMessages(now)
-			m.lockAndResolveWaiters(now)
+			m.lockAndUpdate(now)
 			m.updateListWatch(now)
 			reportTimer.Reset(withJitter(period))
 		}
@@ -156,6 +168,7 @@
 func (m *Manager) refresh() {
 	current := m.configuration.Current()
 	self := m.directory.Self()
+	isFresh := m.lists.isFresh(time.Now())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if current == nil {
@@ -176,9 +189,12 @@
 	for name := range m.pools {
 		if _, ok := m.document.Services[name]; !ok {
 			delete(m.pools, name)
+			delete(m.versionHistories, name)
 		}
 	}
-	m.resolveWaiters(time.Now())
+	now := time.Now()
+	m.observeVersions(now, isFresh)
+	m.resolveWaiters(now)
 }
 
 // shareTarget returns a workspace's share target. The caller holds the mutex.
--- /dev/null
+++ b/internal/app/dispatch/resumption.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"hawthornstream/internal/core/outcome"
+	"hawthornstream/internal/core/streamorigin"
+	"hawthornstream/internal/ports"
+)
+
+// eventResumption is the log event of a stream that its caller resumes.
+const eventResumption = "stream-resumption"
+
+// resumptionRetryAfter is the least time after which a caller should retry whose stream
+// can't go on here. It is short, because another daemon may know where the stream began
+// and a server of its version may come back.
+const resumptionRetryAfter = 200 * time.Millisecond
+
+// resolveResumption returns the only software version at which the stream that the
+// call resumes may go on, empty for any, or a refusal.
+func (m *Manager) resolveResumption(ctx context.Context, call *ports.Call) (string, *outcome.Refusal) {
+	evidence := streamorigin.Evidence{Service: call.Service, Source: streamorigin.SourceUnknown}
+	if call.Resumes != "" {
+		evidence.Origin, evidence.Source = m.origins.lookUp(ctx, call.Resumes, time.Until(call.Deadline))
+	}
+	now := time.Now()
+	m.mu.Lock()
+	if history, ok := m.versionHistories[call.Service]; ok {
+		evidence.SingleVersion, evidence.SingleVersionFor = history.SingleVersion(now)
+	}
+	m.mu.Unlock()
+	decision := streamorigin.Decide(evidence)
+	m.recordResumption(call, decision)
+	switch decision.Reason {
+	case "":
+		return decision.SoftwareVersion, nil
+	case outcome.ReasonSoftwareVersionGone:
+		return "", versionGoneRefusal("the stream began at another service")
+	default:
+		return "", resumptionRefusal(decision.Reason, "it is not known at which software version the stream began")
+	}
+}
+
+// recordResumption counts and logs the decision on a stream that its caller resumes.
+func (m *Manager) recordResumption(call *ports.Call, decision streamorigin.Decision) {
+	m.resumptionCounter.Inc(string(call.Service), string(decision.Source), string(decision.Reason))
+	if !m.limiter.Allow(eventResumption, string(decision.Source)) {
+		return
+	}
+	m.logger.Info().Str("event", eventResumption).Str("request", string(call.ID)).
+		Str("resumes", string(call.Resumes)).Int("resumesAfter", call.LastEventID).
+		Str("service", string(call.Service)).Str("softwareVersion", decision.SoftwareVersion).
+		Str("source", string(decision.Source)).Str("reason", string(decision.Reason)).Msg("")
+}
+
+// observeVersions records which software versions the list of servers shows now. The
+// caller holds the mutex.
+func (m *Manager) observeVersions(now time.Time, isFresh bool) {
+	for service, pool := range m.pools {
+		history, ok := m.versionHistories[service]
+		if !ok {
+			history = &streamorigin.VersionHistory{}
+			m.versionHistories[service] = history
+		}
+		history.Observe(now, pool.SoftwareVersions(), isFresh)
+	}
+}
+
+// recordFirstEvent records where a stream began, if its caller may resume it.
+func (m *Manager) recordFirstEvent(now time.Time, call *ports.Call, server ports.VM) {
+	if !call.Resumable || call.IsResumption() || server.SoftwareVersion == "" {
+		return
+	}
+	m.origins.recordFirstEvent(now, call.ID, streamorigin.Origin{
+		Service: call.Service, SoftwareVersion: server.SoftwareVersion,
+	})
+}
+
+func versionGoneRefusal(detail string) *outcome.Refusal {
+	return resumptionRefusal(outcome.ReasonSoftwareVersionGone, detail)
+}
+
+func resumptionRefusal(reason outcome.Reason, detail string) *outcome.Refusal {
+	return &outcome.Refusal{
+		Reason: reason, End: outcome.NotRun, Detail: detail,
+		RetryAfter: resumptionRetryAfter + time.Duration(rand.Float64()*float64(resumptionRetryAfter)),
+	}
+}
--- a/internal/app/dispatch/slot.go
+++ b/internal/app/dispatch/slot.go
@@ -11,6 +11,7 @@
 // slot implements ports.Slot.
 type slot struct {
 	manager       *Manager
+	call          *ports.Call
 	server        ports.VM
 	booking       *core.Booking
 	grantDetails  ports.GrantDetails
@@ -33,6 +34,7 @@
 		return
 	}
 	now := time.Now()
+	s.manager.recordFirstEvent(now, s.call, s.server)
 	s.manager.mu.Lock()
 	defer s.manager.mu.Unlock()
 	s.booking.RecordFirstByte(now)
--- a/internal/app/execution/retryloop.go
+++ b/internal/app/execution/retryloop.go
@@ -129,6 +129,10 @@
 		r.sentTries++
 	}
 	r.call.LastEventID = max(r.call.LastEventID, result.LastEventID)
+	if r.call.IsResumption() || r.sink.Begun() {
+		// The broker gave a resumption a server of the version that began its stream.
+		r.call.SoftwareVersion = server.SoftwareVersion
+	}
 	if result.Reason != "" {
 		r.call.FailedServers = append(r.call.FailedServers, server.Name)
 	}
--- a/internal/core/dispatch/load.go
+++ b/internal/core/dispatch/load.go
@@ -26,6 +26,9 @@
 	PauseWithin time.Duration
 	// FailedServers are the servers on which the call failed before.
 	FailedServers []ports.VMName
+	// SoftwareVersion is the only software version at which the call may run; empty
+	// for any.
+	SoftwareVersion string
 
 	// isLongPrompt is set by the pool.
 	isLongPrompt bool
@@ -35,7 +38,7 @@
 func WorkOf(call *ports.Call) Work {
 	work := Work{
 		Class: call.Class, FirstTokenWithin: call.FirstTokenBy.Sub(call.Arrived), PauseWithin: call.PauseWithin,
-		FailedServers: call.FailedServers,
+		FailedServers: call.FailedServers, SoftwareVersion: call.SoftwareVersion,
 	}
 	if prompt := call.Prompt; prompt != nil {
 		work.ForEngine = true
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -106,6 +106,23 @@
 	return vms
 }
 
+// HasServerFor reports whether the list has a server that may run the call, whether or
+// not its health and load permit that now.
+func (p *Pool) HasServerFor(work *Work) bool {
+	return slices.ContainsFunc(p.servers, func(s *Server) bool { return s.mayRun(work) })
+}
+
+// SoftwareVersions returns the distinct software versions of all servers in the list,
+// leaving ones included, in ascending order.
+func (p *Pool) SoftwareVersions() []string {
+	versions := make([]string, 0, len(p.servers))
+	for _, server := range p.servers {
+		versions = append(versions, server.vm.SoftwareVersion)
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
 func (p *Pool) findServer(name ports.VMName) *Server {
 	at, ok := slices.BinarySearchFunc(p.servers, name, func(s *Server, name ports.VMName) int {
 		return cmp.Compare(s.vm.Name, name)
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -98,7 +98,13 @@
 }
 
 func (s *Server) accepts(now time.Time, work *Work) bool {
-	return !s.vm.Leaving && s.health.accepts(now, s.ownLoad.Calls) && !slices.Contains(work.FailedServers, s.vm.Name)
+	return s.mayRun(work) && s.health.accepts(now, s.ownLoad.Calls)
+}
+
+// mayRun reports whether the server may run the call once its health permits it.
+func (s *Server) mayRun(work *Work) bool {
+	return !s.vm.Leaving && !slices.Contains(work.FailedServers, s.vm.Name) &&
+		(work.SoftwareVersion == "" || work.SoftwareVersion == s.vm.SoftwareVersion)
 }
 
 // rendezvousScore orders the servers for a prompt prefix. The server with the
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -55,6 +55,9 @@
 	// Resumes is the ID of the caller's earlier call that brought the first event of
 	// the stream that this call resumes; empty for none.
 	Resumes RequestID
+	// SoftwareVersion is the only software version whose servers may run the call;
+	// empty for any. The first event that reaches the caller fixes it.
+	SoftwareVersion string
 	// PauseWithin is the target for the pauses between the events of a stream;
 	// zero for none.
 	PauseWithin time.Duration
@@ -74,6 +77,12 @@
 	FailedServers []VMName
 }
 
+// IsResumption reports whether the call continues a stream of which the caller has
+// received events.
+func (c *Call) IsResumption() bool {
+	return c.Stream && (c.LastEventID > 0 || c.Resumes != "")
+}
+
 // Prompt describes the work of a call for a model engine.
 type Prompt struct {
 	Model string
--- a/internal/ports/peer.go
+++ b/internal/ports/peer.go
@@ -22,6 +22,9 @@
 	KindIdempotencyBegin    MessageKind = 30
 	KindIdempotencyFinish   MessageKind = 31
 	KindIdempotencyReply    MessageKind = 32
+	KindStreamOriginRecords MessageKind = 40
+	KindStreamOriginQuery   MessageKind = 41
+	KindStreamOriginAnswer  MessageKind = 42
 )
 
 // Message is one typed message between daemons. Its fields are encoded as CBOR
