Soak: two software versions, callers that resume streams

Servers of two versions now serve side by side in each service, events tell the version of their server, callers resume broken streams at any daemon up to three times, and the checker reports a stream, in one answer or over its caller's tries, that holds events of two versions.

--- a/testbench/cmd/soak/main.go
+++ b/testbench/cmd/soak/main.go
@@ -67,7 +67,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return false
 	}
-	fmt.Printf("seed %d: %d calls completed, %d violations\n", options.Seed, result.CompletedCalls, len(result.Violations))
+	fmt.Printf("seed %d: %d calls completed, %d streams resumed by callers, %d violations\n",
+		options.Seed, result.CompletedCalls, result.ResumedStreams, len(result.Violations))
 	for _, violation := range result.Violations {
 		fmt.Println("  " + violation)
 	}
--- a/testbench/soak/backends.go
+++ b/testbench/soak/backends.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"regexp"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -15,20 +16,41 @@
 // streamEventCount is the number of events of a complete stream.
 const streamEventCount = 8
 
-// expectedBody returns the body of the complete answer to a call.
-func expectedBody(kind callKind, id string) string {
-	if !kind.stream {
-		return "answer to " + id
+// softwareVersions is the number of software versions that serve side by side in a
+// service.
+const softwareVersions = 2
+
+// expectedBody returns the body of the complete answer to a call, without the software
+// versions in the events of a stream.
+func expectedBody(c call) string {
+	if !c.kind.stream {
+		return "answer to " + c.id
 	}
 	body := ""
-	for event := 1; event <= streamEventCount; event++ {
-		body += streamEvent(id, event)
+	for event := c.lastEvent + 1; event <= streamEventCount; event++ {
+		body += streamEvent(c.streamID(), event, "")
 	}
 	return body
 }
 
-func streamEvent(id string, event int) string {
-	return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", event, id, event)
+// streamEvent returns an event of a stream. It tells the software version of the server
+// that sends it, unless that is empty.
+func streamEvent(streamID string, event int, version string) string {
+	if version != "" {
+		version = " of " + version
+	}
+	return fmt.Sprintf("id: %d\ndata: %s piece %d%s\n\n", event, streamID, event, version)
+}
+
+var eventVersion = regexp.MustCompile(` of (v[0-9]+)\n`)
+
+// splitVersions returns the body of a stream without the software versions in its
+// events, and these versions.
+func splitVersions(body string) (text string, versions []string) {
+	for _, match := range eventVersion.FindAllStringSubmatch(body, -1) {
+		versions = append(versions, match[1])
+	}
+	return eventVersion.ReplaceAllString(body, "\n"), versions
 }
 
 // failureMode is the way in which a backend server fails.
@@ -56,15 +78,18 @@
 type backendServer struct {
 	*platformtest.Server
 	service, zone string
+	version       string
 	checker       *checker
 	failureMode   atomic.Int32
 	closed        chan struct{}
 }
 
-func newBackendServer(name, service, zone string, c *checker) *backendServer {
+func newBackendServer(name, service, zone, version string, c *checker) *backendServer {
 	s := &backendServer{
-		Server: platformtest.NewServer(name), service: service, zone: zone, checker: c, closed: make(chan struct{}),
+		Server: platformtest.NewServer(name), service: service, zone: zone, version: version, checker: c,
+		closed: make(chan struct{}),
 	}
+	s.SetVersion(version)
 	s.SetHandler(s.handle)
 	return s
 }
@@ -108,7 +133,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if s.service == "llm" {
-		s.sendStream(w, id, lastEvent, mode == truncateAnswer)
+		s.sendStream(w, platformtest.StreamID(r), lastEvent, mode == truncateAnswer)
 		return
 	}
 	body := "answer to " + id
@@ -129,7 +154,7 @@
 		end = lastEvent + rand.IntN(streamEventCount-lastEvent+1)
 	}
 	for event := lastEvent + 1; event <= end; event++ {
-		_, _ = io.WriteString(w, streamEvent(id, event))
+		_, _ = io.WriteString(w, streamEvent(id, event, s.version))
 		w.(http.Flusher).Flush()
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/testbench/soak/callers.go
+++ b/testbench/soak/callers.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -37,41 +38,85 @@
 	}
 }
 
+// call is one attempt of a caller.
+type call struct {
+	id             string
+	kind           callKind
+	key, workspace string
+	promptPrefix   string
+	timeout        time.Duration
+	// resumes is the ID of the attempt that began the stream that this one resumes after
+	// the event lastEvent; empty for none.
+	resumes   string
+	lastEvent int
+}
+
+// streamID returns the ID of the attempt that began the stream.
+func (c *call) streamID() string {
+	return cmp.Or(c.resumes, c.id)
+}
+
 // sendCall sends one call and checks its answer. The caller of about one call in 20
-// hangs up early, after at most 100 ms.
+// hangs up early, after at most 100 ms. A stream that may be resumed and breaks is
+// resumed.
 func (c *caller) sendCall(id string) {
-	kind := callKinds[c.random.IntN(len(callKinds))]
-	key, workspace := "key-1", "t1"
+	next := call{
+		id: id, kind: callKinds[c.random.IntN(len(callKinds))], key: "key-1", workspace: "t1", timeout: callTimeout,
+		promptPrefix: fmt.Sprintf("%02x", c.random.IntN(9)),
+	}
 	if c.random.IntN(4) == 0 {
-		key, workspace = "key-2", "t2"
+		next.key, next.workspace = "key-2", "t2"
 	}
-	timeout := callTimeout
 	if c.random.IntN(20) == 0 {
-		timeout = time.Duration(c.random.IntN(100)+1) * time.Millisecond
+		next.timeout = time.Duration(c.random.IntN(100)+1) * time.Millisecond
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	next.lastEvent = c.send(next)
+	for try := 1; try <= maxResumptions; try++ {
+		if !next.kind.stream || !next.kind.repeatable || next.lastEvent == 0 || next.lastEvent == streamEventCount {
+			return
+		}
+		time.Sleep(time.Duration(c.random.IntN(100)) * time.Millisecond)
+		next.id, next.resumes, next.timeout = fmt.Sprintf("%s-r%d", id, try), id, callTimeout
+		next.lastEvent = max(next.lastEvent, c.send(next))
+	}
+}
+
+// maxResumptions is the number of times that a caller tries to resume a stream.
+const maxResumptions = 3
+
+// send sends one attempt and checks its answer. It returns the ID of the last event of a
+// stream that the answer has; zero for none.
+func (c *caller) send(next call) int {
+	ctx, cancel := context.WithTimeout(context.Background(), next.timeout)
 	defer cancel()
 	address := c.daemonAddresses[c.random.IntN(len(c.daemonAddresses))]
 	request, err := platformtest.NewRequest(ctx, address, platformtest.Call{
-		ID: id, Key: key, Path: kind.path, Timeout: timeout, PromptPrefix: fmt.Sprintf("%02x", c.random.IntN(9)),
+		ID: next.id, Key: next.key, Path: next.kind.path, Timeout: next.timeout, PromptPrefix: next.promptPrefix,
+		Resumes: next.resumes, LastEventID: next.lastEvent,
 	})
 	if err != nil {
 		c.checker.addViolation("soak: %v", err)
-		return
+		return 0
 	}
-	revoked := key == "key-2" && c.isKeyRevoked()
-	c.checker.recordCall(id, kind, workspace)
+	revoked := next.key == "key-2" && c.isKeyRevoked()
+	c.checker.recordCall(next.id, next.kind, next.workspace)
 	response, err := c.client.Do(request)
 	if err != nil {
-		return
+		return 0
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	if revoked && response.StatusCode == http.StatusOK {
-		c.checker.addViolation("configuration: %s was served with a revoked key", id)
+		c.checker.addViolation("configuration: %s was served with a revoked key", next.id)
+	}
+	if response.StatusCode == http.StatusUnauthorized && next.key == "key-1" || response.StatusCode == http.StatusNotFound {
+		c.checker.addViolation("denied: %s was answered with status %d", next.id, response.StatusCode)
 	}
-	if response.StatusCode == http.StatusUnauthorized && key == "key-1" || response.StatusCode == http.StatusNotFound {
-		c.checker.addViolation("denied: %s was answered with status %d", id, response.StatusCode)
+	text, versions := splitVersions(string(body))
+	c.checker.recordStreamVersions(next.streamID(), versions, next.resumes != "")
+	c.checker.recordAnswer(next.id, response.StatusCode, err == nil, text, expectedBody(next), platformtest.HasSeal(response))
+	if len(versions) == 0 {
+		return 0
 	}
-	c.checker.recordAnswer(id, response.StatusCode, err == nil, string(body), expectedBody(kind, id), platformtest.HasSeal(response))
+	return next.lastEvent + len(versions)
 }
--- a/testbench/soak/checker.go
+++ b/testbench/soak/checker.go
@@ -32,6 +32,10 @@
 	// which it must receive no requests.
 	drainDeadlines map[string]time.Time
 	completed      int
+	// streamVersions holds the software version of each stream's first event, by the
+	// ID of the attempt that brought it.
+	streamVersions map[string]string
+	resumed        int
 }
 
 type callRecord struct {
@@ -44,7 +48,10 @@
 }
 
 func newChecker() *checker {
-	return &checker{calls: make(map[string]*callRecord), drainDeadlines: make(map[string]time.Time)}
+	return &checker{
+		calls: make(map[string]*callRecord), drainDeadlines: make(map[string]time.Time),
+		streamVersions: make(map[string]string),
+	}
 }
 
 // addViolationLocked adds a violation. c.mu must be held.
@@ -106,6 +113,33 @@
 	}
 }
 
+// recordStreamVersions records the software versions of the events that a caller
+// received of a stream in one answer. resumed tells that it is not the first one.
+func (c *checker) recordStreamVersions(streamID string, versions []string, resumed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if resumed && len(versions) > 0 {
+		c.resumed++
+	}
+	for _, version := range versions {
+		first, known := c.streamVersions[streamID]
+		if !known {
+			c.streamVersions[streamID] = version
+		} else if version != first {
+			c.addViolationLocked("order: stream %s has events of software versions %s and %s", streamID, first, version)
+			return
+		}
+	}
+}
+
+// resumedStreams returns the number of answers with events of streams that callers
+// resumed.
+func (c *checker) resumedStreams() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.resumed
+}
+
 // completedCalls returns the number of calls so far with a complete and correct answer.
 func (c *checker) completedCalls() int {
 	c.mu.Lock()
--- a/testbench/soak/soak.go
+++ b/testbench/soak/soak.go
@@ -34,6 +34,9 @@
 type Result struct {
 	// CompletedCalls is the number of calls with a complete and correct answer.
 	CompletedCalls int
+	// ResumedStreams is the number of streams that went on after their callers resumed
+	// them.
+	ResumedStreams int
 	// Violations describes the violated guarantees.
 	Violations []string
 }
@@ -106,7 +109,10 @@
 	r.checkRecovery()
 	cancel()
 	callers.Wait()
-	return Result{CompletedCalls: r.checker.completedCalls(), Violations: r.checker.allViolations()}, nil
+	return Result{
+		CompletedCalls: r.checker.completedCalls(), ResumedStreams: r.checker.resumedStreams(),
+		Violations: r.checker.allViolations(),
+	}, nil
 }
 
 func (r *soakRun) close() {
@@ -182,11 +188,13 @@
 	return nil
 }
 
-// addServer starts a backend server and registers it, in one of two zones in turn.
+// addServer starts a backend server and registers it, in one of two zones and with one
+// of the software versions in turn.
 func (r *soakRun) addServer(service string) {
 	r.startedServers++
 	name := fmt.Sprintf("i-%s-%d", service, r.startedServers)
-	server := newBackendServer(name, service, fmt.Sprintf("z%d", 1+r.startedServers%2), r.checker)
+	zone, version := fmt.Sprintf("z%d", 1+r.startedServers%2), fmt.Sprintf("v%d", 1+r.startedServers/2%softwareVersions)
+	server := newBackendServer(name, service, zone, version, r.checker)
 	r.servers = append(r.servers, server)
 	r.registerServer(server, "ready")
 }
--- a/testbench/soak/soak_test.go
+++ b/testbench/soak/soak_test.go
@@ -68,6 +68,13 @@
 		},
 		"mixed":   func(c *checker) { c.recordAnswer("r", 200, true, "other", "answer", true) },
 		"no seal": func(c *checker) { c.recordAnswer("r", 200, true, "answer", "answer", false) },
+		"two software versions in one answer": func(c *checker) {
+			c.recordStreamVersions("s", []string{"v1", "v1", "v2"}, false)
+		},
+		"two software versions over a caller's tries": func(c *checker) {
+			c.recordStreamVersions("s", []string{"v1"}, false)
+			c.recordStreamVersions("s", []string{"v2"}, true)
+		},
 		"drain": func(c *checker) {
 			c.setDrainDeadline("s", time.Now().Add(-time.Second))
 			c.recordRun("s", "app", "r", "t1", false)
