Admit only resumptions of recorded streams like retries

A call that names a stream that never began passed admission wherever one software version serves, so that any caller could skip the queue limits and the shares by a header field. Only a resumption of a stream that this daemon or a home has recorded is admitted like a retry now; others are admitted like new calls.

Answers to queries for an origin now carry the attempt instead of a number that an incarnation counts from one: an answer that was queued for an earlier incarnation could have been taken for that to another attempt.

go test -race ./internal/app/dispatch ./internal/core/streamorigin: passes; TestResumptionOfUnknownStreamIsAdmittedLikeNewCall is new. go test -race ./platform -run TestResumedStream: passes.

--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -22,9 +22,12 @@
 	call         *ports.Call
 	work         core.Work
 	waitingSince time.Time
-	done         chan struct{}
-	slot         *slot
-	refusal      *outcome.Refusal
+	// hasBegun reports that the call resumes a stream that a daemon knows. A caller's
+	// word alone would let any call pass admission.
+	hasBegun bool
+	done     chan struct{}
+	slot     *slot
+	refusal  *outcome.Refusal
 }
 
 func (w *waiter) refuse(refusal *outcome.Refusal) {
@@ -42,11 +45,11 @@
 	}
 	w := &waiter{call: call, work: core.WorkOf(call), waitingSince: now, done: make(chan struct{})}
 	if call.IsResumption() && len(call.FailedServers) == 0 {
-		version, refusal := m.resolveResumption(ctx, call)
+		decision, refusal := m.resolveResumption(ctx, call)
 		if refusal != nil {
 			return nil, refusal
 		}
-		w.work.SoftwareVersion = version
+		w.work.SoftwareVersion, w.hasBegun = decision.SoftwareVersion, decision.IsKnownStream()
 		now = time.Now()
 	}
 	m.mu.Lock()
@@ -118,7 +121,7 @@
 	overuse := m.overuse(now, w)
 	return core.AdmissionTerms{
 		Waited: now.Sub(w.call.Arrived), Overuse: overuse,
-		AlwaysAdmit: len(w.call.FailedServers) > 0 || w.call.IsResumption(),
+		AlwaysAdmit: len(w.call.FailedServers) > 0 || w.hasBegun,
 		Capped:      overuse > 1 && m.shares.IsCapped(w.call.Workspace, m.shareTarget),
 	}
 }
--- a/internal/app/dispatch/origins.go
+++ b/internal/app/dispatch/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,9 +36,8 @@
 	table *streamorigin.Table
 	// pending are the origins to be recorded at the home daemons.
 	pending []pendingOrigin
-	// queries are the channels for the answers to the open queries, by their numbers.
-	queries    map[uint64]chan<- *ports.StreamOriginAnswer
-	lastNumber uint64
+	// queries are the channels for the answers to the open queries for an attempt.
+	queries map[streamorigin.AttemptKey][]chan *ports.StreamOriginAnswer
 }
 
 type pendingOrigin struct {
@@ -49,7 +49,7 @@
 	o := &originExchange{
 		directory: directory, transport: transport, recorded: make(chan struct{}, 1),
 		table:   streamorigin.NewTable(streamorigin.MaxEntries),
-		queries: make(map[uint64]chan<- *ports.StreamOriginAnswer),
+		queries: make(map[streamorigin.AttemptKey][]chan *ports.StreamOriginAnswer),
 	}
 	transport.Handle(ports.KindStreamOriginRecords,
 		func() ports.Message { return &ports.StreamOriginRecords{} },
@@ -143,7 +143,7 @@
 	o.mu.Lock()
 	origin, known := o.table.LookUp(now, streamorigin.AttemptKey(query.Attempt))
 	o.mu.Unlock()
-	answer := &ports.StreamOriginAnswer{Number: query.Number}
+	answer := &ports.StreamOriginAnswer{Attempt: query.Attempt}
 	if known {
 		answer.Service, answer.SoftwareVersion = origin.Service, origin.SoftwareVersion
 	}
@@ -152,15 +152,13 @@
 
 func (o *originExchange) handleAnswer(answer *ports.StreamOriginAnswer) {
 	o.mu.Lock()
-	answers := o.queries[answer.Number]
-	o.mu.Unlock()
-	if answers == nil {
-		return
-	}
-	select {
-	case answers <- answer:
-	default:
-		// The channel has room for one answer of each daemon that was asked.
+	defer o.mu.Unlock()
+	for _, answers := range o.queries[streamorigin.AttemptKey(answer.Attempt)] {
+		select {
+		case answers <- answer:
+		default:
+			// The channel has room for one answer of each daemon that was asked.
+		}
 	}
 }
 
@@ -179,13 +177,11 @@
 		o.mu.Unlock()
 		return origin, streamorigin.SourceOwn
 	}
-	o.lastNumber++
-	number := o.lastNumber
-	o.queries[number] = answers
+	o.queries[key] = append(o.queries[key], answers)
 	o.mu.Unlock()
-	defer o.endQuery(number)
+	defer o.endQuery(key, answers)
 	for _, candidate := range candidates {
-		o.transport.Send(candidate, &ports.StreamOriginQuery{Number: number, Attempt: uint64(key)})
+		o.transport.Send(candidate, &ports.StreamOriginQuery{Attempt: uint64(key)})
 	}
 	timer := time.NewTimer(min(maxOriginWait, time.Duration(maxOriginWaitFraction*float64(timeLeft))))
 	defer timer.Stop()
@@ -206,10 +202,15 @@
 	return streamorigin.Origin{}, streamorigin.SourceUnknown
 }
 
-func (o *originExchange) endQuery(number uint64) {
+func (o *originExchange) endQuery(key streamorigin.AttemptKey, answers chan *ports.StreamOriginAnswer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.queries, number)
+	remaining := slices.DeleteFunc(o.queries[key], func(c chan *ports.StreamOriginAnswer) bool { return c == answers })
+	if len(remaining) == 0 {
+		delete(o.queries, key)
+		return
+	}
+	o.queries[key] = remaining
 }
 
 // keep records the origin of a stream that another daemon told.
--- a/internal/app/dispatch/resumption.go
+++ b/internal/app/dispatch/resumption.go
@@ -18,9 +18,9 @@
 // and a server of its version may come back.
 const resumptionRetryAfter = 200 * time.Millisecond
 
-// resolveResumption returns the only software version at which the stream that the
-// call resumes may go on, empty for any, or a refusal.
-func (m *Manager) resolveResumption(ctx context.Context, call *ports.Call) (string, *outcome.Refusal) {
+// resolveResumption decides where the stream that a call resumes may go on, or returns a
+// refusal.
+func (m *Manager) resolveResumption(ctx context.Context, call *ports.Call) (streamorigin.Decision, *outcome.Refusal) {
 	evidence := streamorigin.Evidence{Service: call.Service, Source: streamorigin.SourceUnknown}
 	if call.Resumes != "" {
 		evidence.Origin, evidence.Source = m.origins.lookUp(ctx, call.Resumes, time.Until(call.Deadline))
@@ -35,11 +35,11 @@
 	m.recordResumption(call, decision)
 	switch decision.Reason {
 	case "":
-		return decision.SoftwareVersion, nil
+		return decision, nil
 	case outcome.ReasonSoftwareVersionGone:
-		return "", versionGoneRefusal("the stream began at another service")
+		return decision, versionGoneRefusal("the stream began at another service")
 	default:
-		return "", resumptionRefusal(decision.Reason, "it is not known at which software version the stream began")
+		return decision, resumptionRefusal(decision.Reason, "it is not known at which software version the stream began")
 	}
 }
 
--- a/internal/app/dispatch/resumption_test.go
+++ b/internal/app/dispatch/resumption_test.go
@@ -151,6 +151,24 @@
 	}
 }
 
+// A caller names streams that never began, to pass admission with new calls.
+func TestResumptionOfUnknownStreamIsAdmittedLikeNewCall(t *testing.T) {
+	servers := []ports.VM{{Name: "e1", Service: "llm", Domain: "z1", Slots: 1, SoftwareVersion: "v1"}}
+	m := newTestManager(t, servers...)
+	m.mu.Lock()
+	history := &streamorigin.VersionHistory{}
+	for age := streamorigin.MinSingleVersionPeriod; age >= 0; age -= time.Second {
+		history.Observe(time.Now().Add(-age), []string{"v1"}, true)
+	}
+	m.versionHistories["llm"] = history
+	m.mu.Unlock()
+	takeOnlySlot(t, m)
+	_, err := m.Acquire(context.Background(), newResumption("again", "never-began"))
+	if refusal := mustBeRefusal(t, err); refusal.Reason != outcome.ReasonQueueFull {
+		t.Errorf("got %+v", refusal)
+	}
+}
+
 // A resumption that no server may run is refused at once, as not run, with a time to
 // come back, rather than placed at another version.
 func TestResumptionWithoutItsVersionIsRefused(t *testing.T) {
--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -61,8 +61,8 @@
 	// underserved one that its calls are refused.
 	Capped bool
 	// AlwaysAdmit admits the call on every server. It is set for calls that
-	// were sent before, and for those that resume a stream, so that work that
-	// has begun is completed.
+	// were sent before, and for those that resume a stream that is known to have
+	// begun, so that work that has begun is completed.
 	AlwaysAdmit bool
 
 	// queueAllowance and queueLimit are set by the pool.
--- a/internal/core/streamorigin/decide.go
+++ b/internal/core/streamorigin/decide.go
@@ -45,6 +45,11 @@
 	Reason outcome.Reason
 }
 
+// IsKnownStream reports whether a daemon has recorded that the stream began.
+func (d Decision) IsKnownStream() bool {
+	return d.Source == SourceOwn || d.Source == SourceHome
+}
+
 // Decide returns where a stream that its caller resumes may go on. If its origin is not
 // known, it may go on only where no other software version can have begun it.
 func Decide(e Evidence) Decision {
--- a/internal/ports/stream_origin_messages.go
+++ b/internal/ports/stream_origin_messages.go
@@ -20,19 +20,18 @@
 
 // StreamOriginQuery asks a daemon at which software version a stream began.
 type StreamOriginQuery struct {
-	// Number is repeated in the answer.
-	Number uint64 `cbor:"1,keyasint"`
 	// Attempt is the hash of the ID of the attempt that brought the first event.
-	Attempt uint64 `cbor:"2,keyasint"`
+	Attempt uint64 `cbor:"1,keyasint"`
 }
 
 // Kind implements Message.
 func (*StreamOriginQuery) Kind() MessageKind { return KindStreamOriginQuery }
 
-// StreamOriginAnswer answers a StreamOriginQuery. Service and SoftwareVersion are empty
-// if the sender does not know the stream.
+// StreamOriginAnswer answers a StreamOriginQuery for the same attempt, also one that an
+// earlier incarnation of the receiver sent. Service and SoftwareVersion are empty if the
+// sender does not know the stream.
 type StreamOriginAnswer struct {
-	Number          uint64      `cbor:"1,keyasint"`
+	Attempt         uint64      `cbor:"1,keyasint"`
 	Service         ServiceName `cbor:"2,keyasint,omitempty"`
 	SoftwareVersion string      `cbor:"3,keyasint,omitempty"`
 }
