--- a/internal/app/execution/silenttry.go
+++ b/internal/app/execution/silenttry.go
@@ -29,6 +29,10 @@
 // newSilentTry returns the silentTry of the try that is about to be sent to the server.
 func (r *retryLoop) newSilentTry(server ports.VM) *silentTry {
 	s := &silentTry{executor: r.executor, call: *r.call}
+	if r.call.Stream {
+		// The caller may have got an event of this run by the time of the decision.
+		s.call.SoftwareVersion = server.SoftwareVersion
+	}
 	s.call.FailedServers = append(append([]ports.VMName(nil), r.call.FailedServers...), server.Name)
 	s.try = r.failedTry(ports.RunResult{}, r.sink.Begun() || r.call.Stream)
 	s.try.SentTries++
--- a/internal/core/dispatch/load.go
+++ b/internal/core/dispatch/load.go
@@ -26,8 +26,12 @@
 	PauseWithin time.Duration
 	// FailedServers are the servers on which the call failed before.
 	FailedServers []ports.VMName
-	// Resumes says that the call continues a stream whose caller has events of it.
+	// Resumes says that the call continues a stream of which a daemon knows that its
+	// caller has events. The caller's word alone would let any call wait longer.
 	Resumes bool
+	// SoftwareVersion is the only software version at which the call may run; empty
+	// for any.
+	SoftwareVersion string
 
 	// isLongPrompt is set by the pool.
 	isLongPrompt bool
@@ -37,7 +41,8 @@
 func WorkOf(call *ports.Call) Work {
 	work := Work{
 		Class: call.Class, FirstTokenWithin: call.FirstTokenBy.Sub(call.Arrived), PauseWithin: call.PauseWithin,
-		FailedServers: call.FailedServers, Resumes: call.LastEventID > 0,
+		FailedServers: call.FailedServers, Resumes: call.LastEventID > 0 && len(call.FailedServers) > 0,
+		SoftwareVersion: call.SoftwareVersion,
 	}
 	if prompt := call.Prompt; prompt != nil {
 		work.ForEngine = true
