Order the server list by era and revision

Cause: a store that is restored from an older copy gives lower revisions. The table ignored its lists as old, the watch from the old revision got 410, and daemons with the old history overruled those that had read the new one. A watch from a revision that is given out again was answered, and missed what lay before it.

Change: the store's answers are read with their era (Store-Era; 0 without it), and versions of the list are (era, revision) in the table, in digests, pulls and pushes between daemons, and in the watcher. Encoded messages got new fields only. A list whose pages are of two eras is begun anew, three times at most; a list or watch answered in another era is not applied (*EraChangedError) and the objects are listed again. An era that is not a number fails the read with *InvalidEraError, logged once until a valid one is read, so that it is repeated. What a daemon has read of servers that left or were restarted holds for 6 s against entries of the copy, unless they are written again; servers that the copy lacks have the usual grace. Log event store-era-changed, counters store_era_changes, store_era_invalid and store_answers_discarded.

Run: go test ./platform/... ./internal/core/serverlist ./internal/core ./internal/app/dispatch ./internal/adapters/peer, passed. Without the mechanisms: with versions compared by revision alone, TestListOfRestoredStoreIsApplied, TestListsOfEarlierErasAreIgnored, TestCopyDoesNotBringBackServersThatLeft and TestListOfLaterEraIsPulledWhateverItsRevision fail; without the checks of eras in the client, TestListWithPagesOfTwoErasIsBegunAnew, TestListFailsWhenErasKeepChanging and TestWatchAnsweredInAnotherEraIsNotApplied; without what is known of servers that left, TestCopyDoesNotBringBackServersThatLeft. Tests that name versions of the table as numbers now name them as versions; their bounds are unchanged.

--- a/internal/app/dispatch/exchange.go
+++ b/internal/app/dispatch/exchange.go
@@ -80,13 +80,14 @@
 	relayed.Relayed = true
 	// The digest describes the list of the aggregator, which the receivers would ask
 	// the relaying daemon for.
-	relayed.ServerList = ports.ServerListDigest{}
+	relayed.SetServerList(ports.ServerListDigest{})
 	m.sendToAll(core.NewTopology(self, m.directory.Daemons()).SameDomain, &relayed)
 }
 
 func (m *Manager) newLoadMessage(now time.Time, digest ports.ServerListDigest) *ports.LoadMessage {
 	m.exchange.sequence++
-	message := &ports.LoadMessage{Sequence: m.exchange.sequence, Servers: m.ownLoads(), ServerList: digest}
+	message := &ports.LoadMessage{Sequence: m.exchange.sequence, Servers: m.ownLoads()}
+	message.SetServerList(digest)
 	for service, pool := range m.pools {
 		message.CachedPrefixes = appendCachedPrefixes(message.CachedPrefixes, service, pool.TakeDomainUpdates())
 	}
@@ -102,9 +103,10 @@
 func (m *Manager) newAggregateMessage(now time.Time, digest ports.ServerListDigest, withServerLoads bool) *ports.LoadMessage {
 	m.exchange.aggregateSentAt = now
 	message := &ports.LoadMessage{
-		Sequence: m.exchange.sequence, Domain: m.directory.Self().Domain, ServerList: digest,
+		Sequence: m.exchange.sequence, Domain: m.directory.Self().Domain,
 		Rates: toWorkspaceRates(m.shares.DomainRates(now)),
 	}
+	message.SetServerList(digest)
 	for service, pool := range m.pools {
 		message.CachedPrefixes = appendCachedPrefixes(message.CachedPrefixes, service, pool.TakeCrossDomainUpdates())
 	}
@@ -173,7 +175,7 @@
 }
 
 func (m *Manager) handleLoadMessage(from ports.DaemonID, message *ports.LoadMessage) {
-	m.pullNewerList(from, message.ServerList)
+	m.pullNewerList(from, message.ServerListDigest())
 	m.relayAggregate(message)
 	now := time.Now()
 	source := core.Source{Daemon: from}
--- a/internal/app/dispatch/lists.go
+++ b/internal/app/dispatch/lists.go
@@ -50,7 +50,8 @@
 	m.transport.Handle(ports.KindServerListPull,
 		func() ports.Message { return &ports.ServerListPull{} },
 		func(from ports.DaemonID, message ports.Message) {
-			if list := m.lists.feed.Snapshot(); list.Version > message.(*ports.ServerListPull).Have {
+			list, have := m.lists.feed.Snapshot(), message.(*ports.ServerListPull).StoreVersion()
+			if list.StoreVersion().IsNewerThan(have) {
 				m.transport.Send(from, &list)
 			}
 		})
@@ -75,7 +76,7 @@
 	}
 	own := m.lists.feed.Digest()
 	if m.lists.shouldPull(time.Now(), digest, own) {
-		m.transport.Send(from, &ports.ServerListPull{Have: own.Version})
+		m.transport.Send(from, &ports.ServerListPull{Have: own.Version, HaveEra: own.Era})
 	}
 }
 
@@ -85,7 +86,7 @@
 	if reported.Watching {
 		l.watcherReportedAt = now
 	}
-	if reported.Version <= own.Version || now.Sub(l.pulledAt) < minPullInterval {
+	if !reported.StoreVersion().IsNewerThan(own.StoreVersion()) || now.Sub(l.pulledAt) < minPullInterval {
 		return false
 	}
 	l.pulledAt = now
@@ -116,7 +117,7 @@
 // once, and later changes are found after it.
 func (l *listExchange) shouldWatch(now time.Time, daemons, rank int) bool {
 	if now.Sub(l.startedAt) < startupPeriod {
-		return l.feed.Digest().Version == 0
+		return l.feed.Digest().StoreVersion() == ports.StoreVersion{}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/app/dispatch/lists_test.go
+++ b/internal/app/dispatch/lists_test.go
@@ -68,3 +68,17 @@
 		t.Error("the list is pulled twice at once")
 	}
 }
+
+// A daemon that has read the restored store has a list of a lower revision. The others
+// pull it, and it pulls none of theirs.
+func TestListOfLaterEraIsPulledWhateverItsRevision(t *testing.T) {
+	now := time.Now()
+	l := newListExchange(&fakeListFeed{})
+	before, after := ports.ServerListDigest{Era: 1, Version: 100}, ports.ServerListDigest{Era: 2, Version: 40}
+	if !l.shouldPull(now, after, before) {
+		t.Error("the list of the later era is not pulled")
+	}
+	if l.shouldPull(now.Add(minPullInterval), before, after) {
+		t.Error("the list of the earlier era is pulled")
+	}
+}
--- a/internal/core/serverlist/table.go
+++ b/internal/core/serverlist/table.go
@@ -27,12 +27,17 @@
 // Table is the list with its version. It is not safe for concurrent use: its
 // owner calls it under a lock.
 type Table struct {
-	// version is the platform's number of the newest change in the table.
-	version uint64
+	// version is the newest state of the store that the table contains.
+	version ports.StoreVersion
+	// servers are the servers as the store lists them.
 	servers map[ports.VMName]ports.VM
 	// lapsed are the entries that vanished around a platform outage, with the
 	// time until which they may return.
 	lapsed map[ports.VMName]time.Time
+	// outdated are the entries that come from an older copy of the store.
+	outdated map[ports.VMName]outdatedEntry
+	// gone are the servers that were removed lately.
+	gone map[ports.VMName]goneServer
 	// platformDown reports that the platform did not answer last, and
 	// platformBackAt is when it last became available again.
 	platformDown   bool
@@ -41,20 +46,23 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{servers: make(map[ports.VMName]ports.VM), lapsed: make(map[ports.VMName]time.Time)}
+	return &Table{
+		servers: make(map[ports.VMName]ports.VM), lapsed: make(map[ports.VMName]time.Time),
+		outdated: make(map[ports.VMName]outdatedEntry), gone: make(map[ports.VMName]goneServer),
+	}
 }
 
 // Replace applies a whole list. An entry with a nil VM names no usable server.
 // A list that is older than the table is ignored.
-func (t *Table) Replace(now time.Time, version uint64, entries []Change) {
-	if version < t.version {
+func (t *Table) Replace(now time.Time, version ports.StoreVersion, entries []Change) {
+	if t.version.IsNewerThan(version) {
 		return
 	}
-	t.version = version
+	known := t.advance(now, version)
 	listed := make(map[ports.VMName]bool, len(entries))
 	for _, entry := range entries {
 		listed[entry.Name] = true
-		t.applyChange(now, entry)
+		t.applyListed(now, entry, known)
 	}
 	for name := range t.servers {
 		if !listed[name] {
@@ -63,13 +71,15 @@
 	}
 }
 
-// Apply applies single changes, unless the table is newer.
-func (t *Table) Apply(now time.Time, version uint64, changes []Change) {
-	if version < t.version {
+// Apply applies single changes, unless the table is newer. The changes must be
+// complete since a version of the same era that the table contains.
+func (t *Table) Apply(now time.Time, version ports.StoreVersion, changes []Change) {
+	if t.version.IsNewerThan(version) || t.version.Era != version.Era {
 		return
 	}
 	t.version = version
 	for _, change := range changes {
+		delete(t.outdated, change.Name)
 		t.applyChange(now, change)
 	}
 }
@@ -84,6 +94,7 @@
 		delete(t.servers, change.Name)
 		return
 	}
+	delete(t.gone, change.Name)
 	t.servers[change.Name] = *change.VM
 }
 
@@ -97,32 +108,60 @@
 		t.lapsed[name] = until
 		return
 	}
+	t.drop(now, name)
+}
+
+// drop deletes a server at once.
+func (t *Table) drop(now time.Time, name ports.VMName) {
+	t.recordGone(now, name)
 	delete(t.servers, name)
+	delete(t.lapsed, name)
+	delete(t.outdated, name)
 }
 
 // Snapshot returns the table in the form that other daemons adopt.
 func (t *Table) Snapshot(now time.Time) ports.ServerListPush {
-	list := ports.ServerListPush{Version: t.version, Servers: t.Servers(now)}
+	t.expire(now)
+	list := ports.ServerListPush{Version: t.version.Revision, Era: t.version.Era}
+	for _, vm := range t.servers {
+		list.Servers = append(list.Servers, vm)
+	}
 	for name, until := range t.lapsed {
 		list.Lapsed = append(list.Lapsed, ports.LapsedServer{Name: name, GraceMillis: until.Sub(now).Milliseconds()})
 	}
+	for name, entry := range t.outdated {
+		list.Outdated = append(list.Outdated, ports.OutdatedServer{
+			Name: name, Known: entry.known, HoldMillis: entry.until.Sub(now).Milliseconds(),
+		})
+	}
 	return list
 }
 
 // Adopt replaces the table by another daemon's list if that is newer.
 func (t *Table) Adopt(now time.Time, list ports.ServerListPush) {
-	if list.Version <= t.version {
+	version := list.StoreVersion()
+	if !version.IsNewerThan(t.version) {
 		return
 	}
-	t.version = list.Version
-	clear(t.servers)
-	clear(t.lapsed)
+	known := t.advance(now, version)
+	listed := make(map[ports.VMName]bool, len(list.Servers))
 	for _, vm := range list.Servers {
-		t.servers[vm.Name] = vm
+		listed[vm.Name] = true
+		t.applyListed(now, Change{Name: vm.Name, VM: &vm}, known)
+	}
+	for name := range t.servers {
+		switch {
+		case listed[name]:
+		case known != nil:
+			t.remove(now, name)
+		default:
+			t.drop(now, name)
+		}
 	}
 	for _, lapsed := range list.Lapsed {
 		t.lapsed[lapsed.Name] = now.Add(min(time.Duration(lapsed.GraceMillis)*time.Millisecond, ReregistrationGrace))
 	}
+	t.adoptOutdated(now, list.Outdated)
 }
 
 // SetPlatformAvailable records whether the platform answered.
@@ -135,20 +174,29 @@
 
 // Version returns the table's version, and whether the table has a version and
 // the platform answered last.
-func (t *Table) Version() (version uint64, available bool) {
-	return t.version, t.version > 0 && !t.platformDown
+func (t *Table) Version() (version ports.StoreVersion, available bool) {
+	return t.version, t.version != ports.StoreVersion{} && !t.platformDown
 }
 
-// Servers returns the servers, and deletes those whose grace period is over.
+// Servers returns the servers that may be used.
 func (t *Table) Servers(now time.Time) []ports.VM {
+	t.expire(now)
 	vms := make([]ports.VM, 0, len(t.servers))
-	for name, vm := range t.servers {
-		if until, lapsed := t.lapsed[name]; lapsed && !now.Before(until) {
-			delete(t.servers, name)
-			delete(t.lapsed, name)
-			continue
+	for name := range t.servers {
+		if vm, usable := t.current(name); usable {
+			vms = append(vms, vm)
 		}
-		vms = append(vms, vm)
 	}
 	return vms
 }
+
+// expire deletes the servers whose grace period is over, and what is known of the
+// past for longer than it is needed.
+func (t *Table) expire(now time.Time) {
+	for name, until := range t.lapsed {
+		if !now.Before(until) {
+			t.drop(now, name)
+		}
+	}
+	t.expireHistory(now)
+}
--- a/internal/core/serverlist/table_test.go
+++ b/internal/core/serverlist/table_test.go
@@ -19,7 +19,7 @@
 	for _, name := range names {
 		entries = append(entries, newEntry(name))
 	}
-	t.Replace(start, 10, entries)
+	t.Replace(start, ports.StoreVersion{Revision: 10}, entries)
 	return t
 }
 
@@ -29,12 +29,12 @@
 	table := newTestTable("a", "b")
 	table.SetPlatformAvailable(start, false)
 	table.SetPlatformAvailable(start.Add(5*time.Second), true)
-	table.Replace(start.Add(5*time.Second), 20, []Change{newEntry("a")})
+	table.Replace(start.Add(5*time.Second), ports.StoreVersion{Revision: 20}, []Change{newEntry("a")})
 	soon := start.Add(6 * time.Second)
 	if got := len(table.Servers(soon)); got != 2 {
 		t.Fatalf("%d servers just after the outage, want 2", got)
 	}
-	table.Apply(soon, 21, []Change{newEntry("b")})
+	table.Apply(soon, ports.StoreVersion{Revision: 21}, []Change{newEntry("b")})
 	if got := len(table.Servers(start.Add(time.Minute))); got != 2 {
 		t.Errorf("%d servers after the entry is back, want 2", got)
 	}
@@ -44,7 +44,7 @@
 	table := newTestTable("a", "b")
 	table.SetPlatformAvailable(start, false)
 	table.SetPlatformAvailable(start, true)
-	table.Replace(start, 20, []Change{newEntry("a")})
+	table.Replace(start, ports.StoreVersion{Revision: 20}, []Change{newEntry("a")})
 	if got := len(table.Servers(start.Add(ReregistrationGrace))); got != 1 {
 		t.Errorf("%d servers after the grace period, want 1", got)
 	}
@@ -52,7 +52,7 @@
 
 func TestEntryIsRemovedAtOnceWithoutOutage(t *testing.T) {
 	table := newTestTable("a", "b")
-	table.Apply(start, 11, []Change{{Name: "b", Removed: true}})
+	table.Apply(start, ports.StoreVersion{Revision: 11}, []Change{{Name: "b", Removed: true}})
 	if got := len(table.Servers(start)); got != 1 {
 		t.Errorf("%d servers, want 1", got)
 	}
@@ -60,7 +60,7 @@
 
 func TestEntryWithoutUsableServerIsRemoved(t *testing.T) {
 	table := newTestTable("a", "b")
-	table.Apply(start, 11, []Change{{Name: "b"}})
+	table.Apply(start, ports.StoreVersion{Revision: 11}, []Change{{Name: "b"}})
 	if got := len(table.Servers(start)); got != 1 {
 		t.Errorf("%d servers, want 1", got)
 	}
@@ -70,14 +70,14 @@
 func TestOlderListsAreIgnored(t *testing.T) {
 	table := newTestTable("a")
 	table.Adopt(start, ports.ServerListPush{Version: 30, Servers: []ports.VM{{Name: "a"}, {Name: "c"}}})
-	table.Replace(start, 20, []Change{newEntry("a")})
-	table.Apply(start, 25, []Change{{Name: "c", Removed: true}})
+	table.Replace(start, ports.StoreVersion{Revision: 20}, []Change{newEntry("a")})
+	table.Apply(start, ports.StoreVersion{Revision: 25}, []Change{{Name: "c", Removed: true}})
 	table.Adopt(start, ports.ServerListPush{Version: 29})
 	if got := len(table.Servers(start)); got != 2 {
 		t.Errorf("%d servers, want 2", got)
 	}
-	if version, _ := table.Version(); version != 30 {
-		t.Errorf("version %d, want 30", version)
+	if version, _ := table.Version(); version != (ports.StoreVersion{Revision: 30}) {
+		t.Errorf("version %+v, want revision 30", version)
 	}
 }
 
@@ -88,7 +88,7 @@
 	watching := newTestTable("a", "b")
 	watching.SetPlatformAvailable(start, false)
 	watching.SetPlatformAvailable(start, true)
-	watching.Replace(start, 20, []Change{newEntry("a")})
+	watching.Replace(start, ports.StoreVersion{Revision: 20}, []Change{newEntry("a")})
 	adopting := NewTable()
 	adopting.Adopt(start.Add(time.Second), watching.Snapshot(start.Add(time.Second)))
 	if got := len(adopting.Servers(start.Add(ReregistrationGrace - time.Millisecond))); got != 2 {
--- a/internal/ports/dispatch_messages.go
+++ b/internal/ports/dispatch_messages.go
@@ -15,6 +15,9 @@
 	// ServerList describes the sender's copy of the list of backend servers. It is
 	// zero in a relayed message.
 	ServerList ServerListDigest `cbor:"6,keyasint"`
+	// ServerListEra is the era of ServerList, which daemons of earlier releases
+	// decode without it.
+	ServerListEra uint64 `cbor:"8,keyasint,omitempty"`
 	// Rates are present in some messages only. If absent, the previous ones stay
 	// valid.
 	Rates []WorkspaceRates `cbor:"3,keyasint,omitempty"`
@@ -52,6 +55,18 @@
 	Granted   int64       `cbor:"3,keyasint,omitempty"`
 }
 
+// SetServerList sets the digest that the message carries.
+func (m *LoadMessage) SetServerList(digest ServerListDigest) {
+	m.ServerList, m.ServerListEra = digest, digest.Era
+}
+
+// ServerListDigest returns the digest that the message carries.
+func (m *LoadMessage) ServerListDigest() ServerListDigest {
+	digest := m.ServerList
+	digest.Era = m.ServerListEra
+	return digest
+}
+
 // ServerListDigest describes how recent a daemon's list of backend servers is.
 type ServerListDigest struct {
 	_ struct{} `cbor:",toarray"`
@@ -60,12 +75,26 @@
 	// Watching is true if the daemon watches the platform's list itself and the
 	// platform answers.
 	Watching bool
+	// Era is the era of Version. It is not part of the encoded array, whose length
+	// daemons of earlier releases check; see LoadMessage.ServerListEra.
+	Era uint64 `cbor:"-"`
+}
+
+// StoreVersion returns the version of the list.
+func (d ServerListDigest) StoreVersion() StoreVersion {
+	return StoreVersion{Era: d.Era, Revision: d.Version}
 }
 
 // ServerListPull asks a daemon for its list of backend servers.
 type ServerListPull struct {
-	// Have is the version of the sender's list.
-	Have uint64 `cbor:"1,keyasint"`
+	// Have is the revision of the sender's list, and HaveEra its era.
+	Have    uint64 `cbor:"1,keyasint"`
+	HaveEra uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+// StoreVersion returns the version of the sender's list.
+func (p *ServerListPull) StoreVersion() StoreVersion {
+	return StoreVersion{Era: p.HaveEra, Revision: p.Have}
 }
 
 // Kind implements Message.
@@ -73,11 +102,35 @@
 
 // ServerListPush carries a list of backend servers.
 type ServerListPush struct {
+	// Version is the platform's number of the latest change in the list, and Era
+	// the era of that number.
 	Version uint64 `cbor:"1,keyasint"`
-	Servers []VM   `cbor:"2,keyasint"`
+	Era     uint64 `cbor:"4,keyasint,omitempty"`
+	// Servers are the servers as the platform lists them.
+	Servers []VM `cbor:"2,keyasint"`
 	// Lapsed are those of Servers whose entries expired around an outage of the
 	// platform. They are removed unless they write their entries again in time.
 	Lapsed []LapsedServer `cbor:"3,keyasint,omitempty"`
+	// Outdated are those of Servers whose entries come from an older copy of the
+	// store and contradict what the sender has read before.
+	Outdated []OutdatedServer `cbor:"5,keyasint,omitempty"`
+}
+
+// StoreVersion returns the version of the list.
+func (p *ServerListPush) StoreVersion() StoreVersion {
+	return StoreVersion{Era: p.Era, Revision: p.Version}
+}
+
+// OutdatedServer is a backend server whose entry comes from an older copy of the
+// store.
+type OutdatedServer struct {
+	Name VMName `cbor:"1,keyasint"`
+	// Known is the server as it was listed before the store was restored; nil if
+	// it was gone.
+	Known *VM `cbor:"2,keyasint,omitempty"`
+	// HoldMillis is the time in milliseconds for which Known holds in place of the
+	// entry, unless the entry is written again before.
+	HoldMillis int64 `cbor:"3,keyasint"`
 }
 
 // LapsedServer is a backend server whose entry expired and may still be written
