Follow the configuration through the eras of the store

Cause: the feed's position was a revision alone. After a restore the store gives revisions out again: a watch from one of them was answered, and a configuration that was written at a lower revision was missed.

Change: the position of ports.RevisionFeed is a ports.StoreVersion. A watch that is answered in another era, or refused because its history is gone, is followed by a read of the newest configuration, and the next watch begins there. The revision chain of the own interface has era 0, as before. Numbers of configurations were and are compared by liveconfig: an older one from the copy is counted as configuration_ignored, reason not-higher, and the one in force stays.

--- a/internal/app/liveconfig/chainfeed.go
+++ b/internal/app/liveconfig/chainfeed.go
@@ -23,12 +23,12 @@
 }
 
 // Await implements ports.RevisionFeed.
-func (f chainFeed) Await(ctx context.Context, seen ports.ObjectVersion) (ports.RevisionUpdate, error) {
-	object, err := f.objects.Watch(ctx, configuration.ObjectName, seen)
+func (f chainFeed) Await(ctx context.Context, seen ports.StoreVersion) (ports.RevisionUpdate, error) {
+	object, err := f.objects.Watch(ctx, configuration.ObjectName, ports.ObjectVersion(seen.Revision))
 	if err != nil {
 		return ports.RevisionUpdate{}, err
 	}
-	if object.Version == seen {
+	if object.Version == ports.ObjectVersion(seen.Revision) {
 		return ports.RevisionUpdate{Version: seen}, nil
 	}
 	return parseChainObject(object)
@@ -37,7 +37,7 @@
 // parseChainObject returns the current revision of the chain in an object. It
 // fails with *configuration.CorruptChainError and then returns the version.
 func parseChainObject(object ports.Object) (ports.RevisionUpdate, error) {
-	update := ports.RevisionUpdate{Version: object.Version}
+	update := ports.RevisionUpdate{Version: ports.StoreVersion{Revision: uint64(object.Version)}}
 	chain, err := configuration.ParseChain(object.Value)
 	if err != nil {
 		return update, err
--- a/internal/app/liveconfig/platform.go
+++ b/internal/app/liveconfig/platform.go
@@ -33,7 +33,7 @@
 // a corrupt chain and waits for the next version.
 func (m *Manager) watchPlatform(ctx context.Context) {
 	retry := newRetryBackoff()
-	var seen ports.ObjectVersion
+	var seen ports.StoreVersion
 	for ctx.Err() == nil {
 		update, method, err := m.fetchUpdate(ctx, seen)
 		var corrupt *configuration.CorruptChainError
@@ -44,7 +44,7 @@
 			m.waitForDirectoryChange(ctx, watcherCheckPeriod)
 		case errors.As(err, &corrupt):
 			m.countIgnored(ignoredCorrupt, sourcePlatform)
-			m.logger.Error().Str("event", "configuration-corrupt").Uint64("version", uint64(update.Version)).
+			m.logger.Error().Str("event", "configuration-corrupt").Uint64("version", update.Version.Revision).
 				Err(err).Msg("")
 			m.setPlatformError("")
 			seen = update.Version
@@ -93,7 +93,7 @@
 
 // fetchUpdate waits for the next revision if this daemon is a watcher, or reads
 // the newest revision if it has no configuration. Otherwise it makes no call.
-func (m *Manager) fetchUpdate(ctx context.Context, seen ports.ObjectVersion) (ports.RevisionUpdate, fetchMethod, error) {
+func (m *Manager) fetchUpdate(ctx context.Context, seen ports.StoreVersion) (ports.RevisionUpdate, fetchMethod, error) {
 	self := m.directory.Self()
 	ranked := rankDaemons(m.directory.Daemons(), self.Domain)
 	switch {
--- a/internal/app/liveconfig/unconfigured_test.go
+++ b/internal/app/liveconfig/unconfigured_test.go
@@ -19,10 +19,10 @@
 }
 
 func (f *emptyFeed) Newest(context.Context) (ports.RevisionUpdate, error) {
-	return ports.RevisionUpdate{Version: ports.ObjectVersion(f.reads.Add(1))}, f.err
+	return ports.RevisionUpdate{Version: ports.StoreVersion{Revision: uint64(f.reads.Add(1))}}, f.err
 }
 
-func (f *emptyFeed) Await(ctx context.Context, _ ports.ObjectVersion) (ports.RevisionUpdate, error) {
+func (f *emptyFeed) Await(ctx context.Context, _ ports.StoreVersion) (ports.RevisionUpdate, error) {
 	<-ctx.Done()
 	return ports.RevisionUpdate{}, ctx.Err()
 }
--- a/internal/ports/configuration.go
+++ b/internal/ports/configuration.go
@@ -17,16 +17,18 @@
 	// *configuration.CorruptChainError.
 	Newest(ctx context.Context) (RevisionUpdate, error)
 	// Await blocks until a version above seen exists, or until the platform ends
-	// the wait; the update then has version seen and no revision. It fails with
-	// the errors of Newest.
-	Await(ctx context.Context, seen ObjectVersion) (RevisionUpdate, error)
+	// the wait; the update then has version seen and no revision. If the platform
+	// can't tell what changed since seen, as in a new era, Await returns the newest
+	// revision, which may be older than one returned before. It fails with the
+	// errors of Newest.
+	Await(ctx context.Context, seen StoreVersion) (RevisionUpdate, error)
 }
 
 // RevisionUpdate is the result of one read of a RevisionFeed.
 type RevisionUpdate struct {
 	// Version is the version of the value that the feed read. A corrupt value has
 	// a version too.
-	Version ObjectVersion
+	Version StoreVersion
 	// Revision is nil if there is nothing new.
 	Revision *Configuration
 }
