Keep what is known of servers over any history of restores

Cause: found by a property over random histories of changes, copies, restores, cut daemons and restarts. A daemon that was cut off from the store, or received lists of daemons that had read less, went back to servers that it had read to be leaving or gone: the removal of an entry of the copy was taken for a lapse; the hold on such an entry ended while the daemon could not read its removal; a list of another daemon brought back servers that only that daemon still waited for, also without a restore.

Change: the removal of an outdated entry drops the server at once; an outdated entry expires only while the store answers, or when a newer list is adopted; a list whose sender waits for a lapsed entry doesn't override what this daemon has read of the server.

--- a/internal/core/serverlist/restore.go
+++ b/internal/core/serverlist/restore.go
@@ -47,41 +47,47 @@
 	if previous.Era == version.Era || previous == (ports.StoreVersion{}) {
 		return nil
 	}
+	t.replaceOutdated(now)
 	known := make(map[ports.VMName]knownServer, len(t.servers)+len(t.gone))
 	for name, server := range t.gone {
 		known[name] = knownServer{startedMillis: server.startedMillis}
 	}
-	for name := range t.servers {
-		if vm, usable := t.current(name); usable {
-			known[name] = knownServer{vm: &vm, startedMillis: vm.StartedMillis}
-		}
+	for name, vm := range t.servers {
+		known[name] = knownServer{vm: &vm, startedMillis: vm.StartedMillis}
 	}
-	clear(t.outdated)
 	// The copy may lack entries that were written after it.
 	t.platformBackAt = now
 	return known
 }
 
+// replaceOutdated replaces the outdated entries by what is known of their servers.
+func (t *Table) replaceOutdated(now time.Time) {
+	for name := range t.outdated {
+		if vm, usable := t.current(name); usable {
+			t.servers[name] = vm
+		} else {
+			t.drop(now, name)
+		}
+	}
+	clear(t.outdated)
+}
+
 // applyListed applies an entry of a whole list. known is set if the list begins a new
 // era.
 func (t *Table) applyListed(now time.Time, entry Change, known map[ports.VMName]knownServer) {
 	previous, wasListed := t.servers[entry.Name]
-	gone, wasGone := t.gone[entry.Name]
-	t.applyChange(now, entry)
-	if known == nil {
-		if entry.VM == nil || !wasListed || previous != *entry.VM {
-			// The server has written its entry again.
-			delete(t.outdated, entry.Name)
-		}
-		return
-	}
-	before, ok := known[entry.Name]
-	if !ok || entry.VM == nil || !before.supersedes(*entry.VM) {
-		return
-	}
-	t.outdated[entry.Name] = outdatedEntry{known: before.vm, until: now.Add(OutdatedHold)}
-	if wasGone {
-		t.gone[entry.Name] = gone
+	unchanged := wasListed && entry.VM != nil && previous == *entry.VM
+	_, isOutdated := t.outdated[entry.Name]
+	before, wasKnown := known[entry.Name]
+	switch {
+	case known == nil && unchanged && isOutdated:
+		// The entry is still that of the copy.
+		t.setEntry(entry)
+	case wasKnown && entry.VM != nil && before.supersedes(*entry.VM):
+		t.setEntry(entry)
+		t.outdated[entry.Name] = outdatedEntry{known: before.vm, until: now.Add(OutdatedHold)}
+	default:
+		t.applyChange(now, entry)
 	}
 }
 
@@ -96,8 +102,14 @@
 }
 
 // adoptOutdated adds what another daemon knows of outdated entries. What this daemon
-// knows itself takes precedence.
+// knows itself takes precedence until its time is over.
 func (t *Table) adoptOutdated(now time.Time, servers []ports.OutdatedServer) {
+	for name, entry := range t.outdated {
+		if !now.Before(entry.until) {
+			delete(t.outdated, name)
+			delete(t.gone, name)
+		}
+	}
 	for _, server := range servers {
 		if _, listed := t.servers[server.Name]; !listed {
 			continue
@@ -110,6 +122,22 @@
 	}
 }
 
+// latest returns what is known best of a server that another daemon keeps without an
+// entry in the store, and whether it is gone: this daemon may have read more of it.
+func (t *Table) latest(vm ports.VM) (_ ports.VM, isGone bool) {
+	if gone, remembered := t.gone[vm.Name]; remembered && gone.startedMillis >= vm.StartedMillis {
+		return vm, true
+	}
+	if _, listed := t.servers[vm.Name]; !listed {
+		return vm, false
+	}
+	own, usable := t.current(vm.Name)
+	if usable && (knownServer{vm: &own, startedMillis: own.StartedMillis}).supersedes(vm) {
+		return own, false
+	}
+	return vm, !usable
+}
+
 // current returns a listed server as it is known best, and false if it is gone.
 func (t *Table) current(name ports.VMName) (ports.VM, bool) {
 	entry, outdated := t.outdated[name]
@@ -125,15 +153,19 @@
 
 // recordGone remembers a server that is about to be removed.
 func (t *Table) recordGone(now time.Time, name ports.VMName) {
-	if vm, usable := t.current(name); usable {
+	vm, usable := t.current(name)
+	if usable {
 		t.gone[name] = goneServer{startedMillis: vm.StartedMillis, at: now}
+	} else if _, remembered := t.gone[name]; !remembered {
+		t.gone[name] = goneServer{startedMillis: t.servers[name].StartedMillis, at: now}
 	}
 }
 
-// expireHistory forgets outdated entries and removed servers after their time.
+// expireHistory forgets outdated entries and removed servers after their time. While
+// the platform doesn't answer, an outdated entry stays: its removal may be unread.
 func (t *Table) expireHistory(now time.Time) {
 	for name, entry := range t.outdated {
-		if !now.Before(entry.until) {
+		if !t.platformDown && !now.Before(entry.until) {
 			// The store still lists the server, so it writes its entry.
 			delete(t.outdated, name)
 			delete(t.gone, name)
--- a/internal/core/serverlist/table.go
+++ b/internal/core/serverlist/table.go
@@ -79,23 +79,31 @@
 	}
 	t.version = version
 	for _, change := range changes {
-		delete(t.outdated, change.Name)
 		t.applyChange(now, change)
 	}
 }
 
+// applyChange applies a change that the store recorded in the table's era.
 func (t *Table) applyChange(now time.Time, change Change) {
 	if change.Removed {
 		t.remove(now, change.Name)
 		return
 	}
-	delete(t.lapsed, change.Name)
-	if change.VM == nil {
-		delete(t.servers, change.Name)
+	t.setEntry(change)
+	delete(t.outdated, change.Name)
+	if change.VM != nil {
+		delete(t.gone, change.Name)
+	}
+}
+
+// setEntry sets the entry of a server as the store lists it.
+func (t *Table) setEntry(entry Change) {
+	delete(t.lapsed, entry.Name)
+	if entry.VM == nil {
+		delete(t.servers, entry.Name)
 		return
 	}
-	delete(t.gone, change.Name)
-	t.servers[change.Name] = *change.VM
+	t.servers[entry.Name] = *entry.VM
 }
 
 // remove deletes a server, at once or, if its entry may have lapsed because of
@@ -104,6 +112,13 @@
 	if _, listed := t.servers[name]; !listed {
 		return
 	}
+	vm, usable := t.current(name)
+	if !usable {
+		t.drop(now, name)
+		return
+	}
+	t.servers[name] = vm
+	delete(t.outdated, name)
 	if until := t.platformBackAt.Add(ReregistrationGrace); now.Before(until) {
 		t.lapsed[name] = until
 		return
@@ -144,8 +159,18 @@
 		return
 	}
 	known := t.advance(now, version)
+	lapsed := make(map[ports.VMName]bool, len(list.Lapsed))
+	for _, server := range list.Lapsed {
+		lapsed[server.Name] = true
+	}
 	listed := make(map[ports.VMName]bool, len(list.Servers))
 	for _, vm := range list.Servers {
+		if lapsed[vm.Name] {
+			var isGone bool
+			if vm, isGone = t.latest(vm); isGone {
+				continue
+			}
+		}
 		listed[vm.Name] = true
 		t.applyListed(now, Change{Name: vm.Name, VM: &vm}, known)
 	}
@@ -158,8 +183,11 @@
 			t.drop(now, name)
 		}
 	}
-	for _, lapsed := range list.Lapsed {
-		t.lapsed[lapsed.Name] = now.Add(min(time.Duration(lapsed.GraceMillis)*time.Millisecond, ReregistrationGrace))
+	for _, server := range list.Lapsed {
+		if listed[server.Name] {
+			grace := time.Duration(server.GraceMillis) * time.Millisecond
+			t.lapsed[server.Name] = now.Add(min(grace, ReregistrationGrace))
+		}
 	}
 	t.adoptOutdated(now, list.Outdated)
 }
