Let a server that pushes back have its pause

Change: one parser for both protocols reads fractions and bounds the value by MaxRetryAfter (1 h); what is invalid is a RetryAfterError, counted by problem and named in the log line of the run. The pause counts from the header of the answer on and is remembered like the notice of a leaving server. The new ServerFaultPushedBack leaves the server's health as it is. When all servers of a service pause for longer than a call may wait, calls are refused at once with a Retry-After after the end of the first pause, spread; a shorter pause is waited for, and its end wakes the waiting calls. A 503 with Retry-After but without Not-Executed is "unknown": sent elsewhere if repeatable, else 502. A 503 with Not-Executed alone keeps its 100 ms. CanServe and AllLeaving became EarliestFree, and their test asks the same of it. Without the check of the pause, the refusal at once, the exception in recordRun or the wake-up, the tests of core and app fail that name them.

--- a/internal/adapters/backendhttp/client.go
+++ b/internal/adapters/backendhttp/client.go
@@ -47,6 +47,8 @@
 	transport *http.Transport
 	// opened and closedCounter count connections by openReason and closeReason.
 	opened, closedCounter *metrics.CounterVec
+	// invalidRetryAfter counts the answers with an invalid Retry-After by problem.
+	invalidRetryAfter *metrics.CounterVec
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the oldest first.
@@ -108,11 +110,12 @@
 	}
 	scope = scope.SubScope("backend")
 	return &Client{
-		transport:     transport,
-		opened:        metrics.NewCounterVec(scope, "connections_opened", "reason"),
-		closedCounter: metrics.NewCounterVec(scope, "connections_closed", "reason"),
-		idle:          make(map[string][]*clientConn),
-		openCount:     make(map[string]int),
+		transport:         transport,
+		opened:            metrics.NewCounterVec(scope, "connections_opened", "reason"),
+		closedCounter:     metrics.NewCounterVec(scope, "connections_closed", "reason"),
+		invalidRetryAfter: metrics.NewCounterVec(scope, "invalid_retry_after", "problem"),
+		idle:              make(map[string][]*clientConn),
+		openCount:         make(map[string]int),
 	}
 }
 
--- a/internal/adapters/backendhttp/header.go
+++ b/internal/adapters/backendhttp/header.go
@@ -76,16 +76,6 @@
 	return clone
 }
 
-// parseRetryAfter returns the delay in the field Retry-After, or zero if the field
-// is missing or not a number of seconds.
-func parseRetryAfter(header http.Header) time.Duration {
-	seconds, err := strconv.Atoi(header.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return time.Duration(seconds) * time.Second
-}
-
 // keepAliveMargin is how long before the server's own idle timeout a connection is
 // no longer reused: a request that crosses the server's close is lost.
 const keepAliveMargin = 500 * time.Millisecond
--- a/internal/adapters/backendhttp/result.go
+++ b/internal/adapters/backendhttp/result.go
@@ -105,16 +105,18 @@
 
 // DeclinedResult returns the result of a call that the server declined to run. It
 // reports false unless the answer has an overload status and declares that no part
-// of the call ran.
-func DeclinedResult(response *http.Response) (ports.RunResult, bool) {
+// of the call ran. The detail names an invalid Retry-After.
+func DeclinedResult(exchange *Exchange) (ports.RunResult, bool) {
+	response := exchange.Response
 	if !isOverloadStatus(response.StatusCode) || response.Header.Get(HeaderRunState) != runStateNotRun {
 		return ports.RunResult{}, false
 	}
+	retryAfter, err := exchange.RetryAfter()
 	result := ports.RunResult{
 		End:        outcome.NotRun,
 		Reason:     outcome.ReasonServerOverloaded,
 		Detail:     "the backend server is full",
-		RetryAfter: parseRetryAfter(response.Header),
+		RetryAfter: retryAfter,
 		Report:     ports.RunReport{Fault: ports.ServerFaultOverloaded},
 	}
 	if response.Header.Get(HeaderLeaving) == "true" {
@@ -122,6 +124,9 @@
 		result.Detail = "the backend server is leaving"
 		result.Report.Fault = ports.ServerFaultLeaving
 	}
+	if err != nil {
+		result.Detail += ": " + err.Error()
+	}
 	return result, true
 }
 
--- a/internal/adapters/enginehttp/backend.go
+++ b/internal/adapters/enginehttp/backend.go
@@ -89,7 +89,7 @@
 	if !exchange.AnswersRequest(call.ID) {
 		return b.cancelIfMaybeRunning(call, server, backendhttp.MismatchResult())
 	}
-	if result, declined := backendhttp.DeclinedResult(exchange.Response); declined {
+	if result, declined := backendhttp.DeclinedResult(exchange); declined {
 		return result
 	}
 	firstByteAfter := time.Since(sentAt)
--- a/internal/adapters/enginehttp/stream.go
+++ b/internal/adapters/enginehttp/stream.go
@@ -107,7 +107,7 @@
 	if !exchange.AnswersRequest(r.call.ID) {
 		return connectionEnd{result: backendhttp.MismatchResult(), resumable: true}
 	}
-	if result, declined := backendhttp.DeclinedResult(exchange.Response); declined {
+	if result, declined := backendhttp.DeclinedResult(exchange); declined {
 		return connectionEnd{result: result}
 	}
 	if !isEventStream(exchange.Response) {
--- a/internal/adapters/servicehttp/backend.go
+++ b/internal/adapters/servicehttp/backend.go
@@ -108,7 +108,7 @@
 	if !exchange.AnswersRequest(call.ID) {
 		return backendhttp.MismatchResult()
 	}
-	if result, declined := backendhttp.DeclinedResult(exchange.Response); declined {
+	if result, declined := backendhttp.DeclinedResult(exchange); declined {
 		return result
 	}
 	if !exchange.SelfDelimited() {
--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -59,7 +59,7 @@
 	}
 	m.waiters = append(m.waiters, w)
 	m.mu.Unlock()
-	timer := time.NewTimer(min(core.MaxWait(&w.work), call.Deadline.Sub(now)))
+	timer := time.NewTimer(w.waitEnd().Sub(now))
 	defer timer.Stop()
 	select {
 	case <-w.done:
@@ -95,27 +95,41 @@
 	}
 	choice, ok := choose(pool, now, &w.work, m.admissionTerms(now, w))
 	if !ok {
-		return m.refuseUnservable(w, pool)
+		return m.refuseUnservable(now, w, pool)
 	}
 	w.slot = m.bookSlot(now, pool, choice, w)
 	close(w.done)
 	return true
 }
 
-// refuseUnservable refuses a call that no server of the pool can serve however long it
-// waits, and reports whether it did.
-func (m *Manager) refuseUnservable(w *waiter, pool *core.Pool) bool {
-	switch {
-	case pool.CanServe(&w.work):
+// refuseUnservable refuses a call that no server of the pool can get before its wait
+// ends, and reports whether it did.
+func (m *Manager) refuseUnservable(now time.Time, w *waiter, pool *core.Pool) bool {
+	free, found := pool.EarliestFree(now, w.work.FailedServers)
+	if found && !free.After(w.waitEnd()) {
 		return false
-	case pool.AllLeaving():
+	}
+	free, found = pool.EarliestFree(now, nil)
+	switch {
+	case !found:
 		w.refuse(allLeavingRefusal())
+	case free.After(now):
+		w.refuse(allPausedRefusal(free.Sub(now)))
 	default:
 		w.refuse(noServerRefusal("no other backend server can serve the call"))
 	}
 	return true
 }
 
+// waitEnd returns when the call is refused if it has found no room until then.
+func (w *waiter) waitEnd() time.Time {
+	end := w.waitingSince.Add(core.MaxWait(&w.work))
+	if w.call.Deadline.Before(end) {
+		return w.call.Deadline
+	}
+	return end
+}
+
 func (m *Manager) admissionTerms(now time.Time, w *waiter) core.AdmissionTerms {
 	overuse := m.overuse(now, w)
 	return core.AdmissionTerms{
@@ -247,6 +261,15 @@
 	return refusal
 }
 
+// allPausedRefusal returns the refusal of a call of a service all of whose servers pause
+// for at least the given time.
+func allPausedRefusal(untilFree time.Duration) *outcome.Refusal {
+	return &outcome.Refusal{
+		Reason: outcome.ReasonServerOverloaded, End: outcome.NotRun, Detail: "all backend servers asked for a pause",
+		RetryAfter: core.RetryAfterPause(untilFree, rand.Float64()),
+	}
+}
+
 func noServerRefusal(detail string) *outcome.Refusal {
 	return &outcome.Refusal{
 		Reason: outcome.ReasonNoServer, End: outcome.NotRun, Detail: detail,
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 
+	"hawthornstream/internal/adapters/logging"
 	"hawthornstream/internal/adapters/metrics"
 	"hawthornstream/internal/core/configuration"
 	core "hawthornstream/internal/core/dispatch"
@@ -53,11 +54,14 @@
 	logger           *log.Logger
 	exclusionCounter *metrics.CounterVec
 	leavingCounter   *metrics.CounterVec
+	pushbackCounter  *metrics.CounterVec
+	limiter          *logging.Limiter
 	directory        ports.Directory
 	transport        ports.PeerTransport
 	configuration    ports.ConfigurationSource
 	lists            *listExchange
 	changeSignal     chan struct{}
+	pauseSignal      chan struct{}
 	stop             chan struct{}
 	stopOnce         sync.Once
 	loops            sync.WaitGroup
@@ -84,11 +88,14 @@
 		logger:           p.Logger,
 		exclusionCounter: metrics.NewCounterVec(scope, "servers_excluded", "service", "fault"),
 		leavingCounter:   metrics.NewCounterVec(scope, "servers_leaving", "service"),
+		pushbackCounter:  metrics.NewCounterVec(scope, "server_pushbacks", "service"),
+		limiter:          logging.NewLimiter(p.Logger),
 		directory:        p.Directory,
 		transport:        p.Transport,
 		configuration:    p.Configuration,
 		lists:            newListExchange(p.List),
 		changeSignal:     make(chan struct{}, 1),
+		pauseSignal:      make(chan struct{}, 1),
 		stop:             make(chan struct{}),
 		document:         &configuration.Document{},
 		pools:            make(map[ports.ServiceName]*core.Pool),
@@ -139,12 +146,19 @@
 	m.refresh()
 	reportTimer := time.NewTimer(reportPeriod)
 	defer reportTimer.Stop()
+	pauseTimer := time.NewTimer(maxPauseCheckPeriod)
+	defer pauseTimer.Stop()
 	for {
 		select {
 		case <-m.stop:
 			return
 		case <-m.changeSignal:
 			m.refresh()
+		case <-m.pauseSignal:
+			pauseTimer.Reset(m.untilPauseEnd(time.Now()))
+		case now := <-pauseTimer.C:
+			m.lockAndResolveWaiters(now)
+			pauseTimer.Reset(m.untilPauseEnd(now))
 		case now := <-reportTimer.C:
 			period := m.sendLoadMessages(now)
 			m.lockAndResolveWaiters(now)
--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -201,8 +201,20 @@
 	// caller should retry.
 	minRetryAfter = 300 * time.Millisecond
 	maxRetryAfter = 4 * time.Second
+	// pauseSpreadFraction is the fraction of the time until the end of a pause over
+	// which retries after it are spread, within the same bounds.
+	pauseSpreadFraction = 0.5
 )
 
+// RetryAfterPause returns the time after which a caller should retry that was refused
+// because all servers pause, given the time until the first pause ends and a random
+// number from 0 to 1. The retries are spread after that end, wider after a long pause,
+// in which more callers were refused.
+func RetryAfterPause(untilFree time.Duration, random float64) time.Duration {
+	spread := min(max(time.Duration(pauseSpreadFraction*float64(untilFree)), minRetryAfter), maxRetryAfter)
+	return untilFree + time.Duration(random*float64(spread))
+}
+
 // RetryAfter returns the time after which a refused caller should retry, given
 // the time that remains until its deadline, the predicted time to the first
 // byte and a random number from 0 to 1. The target is missed in any case, so
--- a/internal/core/dispatch/health.go
+++ b/internal/core/dispatch/health.go
@@ -62,8 +62,12 @@
 	}
 }
 
-// recordRun updates the health from the outcome of a run.
+// recordRun updates the health from the outcome of a run. A server that asked for a
+// pause has shown nothing about its health.
 func (h *health) recordRun(now time.Time, fault ports.ServerFault) {
+	if fault == ports.ServerFaultPushedBack {
+		return
+	}
 	h.decay(now)
 	switch fault {
 	case ports.ServerFaultNone:
--- a/internal/core/dispatch/notices.go
+++ b/internal/core/dispatch/notices.go
@@ -33,6 +33,8 @@
 type notice struct {
 	recordedAt time.Time
 	isLeaving  bool
+	// pausedUntil is when the pause ends that the server asked for.
+	pausedUntil time.Time
 }
 
 // NewNotices returns an empty Notices.
@@ -43,22 +45,40 @@
 // RecordLeaving records that a server is leaving. It reports false if that was recorded
 // before.
 func (n *Notices) RecordLeaving(now time.Time, vm ports.VM) bool {
-	key := instanceOf(vm)
-	recorded, known := n.byInstance[key]
+	recorded := n.byInstance[instanceOf(vm)]
 	if recorded.isLeaving {
 		return false
 	}
-	if !known {
+	recorded.isLeaving = true
+	n.set(now, vm, recorded)
+	return true
+}
+
+// RecordPause records that a server asked for a pause that begins now. A longer one that
+// it asked for before stays in force. RecordPause reports false if the server pauses
+// already.
+func (n *Notices) RecordPause(now time.Time, vm ports.VM, pause time.Duration) bool {
+	recorded := n.byInstance[instanceOf(vm)]
+	isNew := !recorded.pausedUntil.After(now)
+	if until := now.Add(pause); until.After(recorded.pausedUntil) {
+		recorded.pausedUntil = until
+	}
+	n.set(now, vm, recorded)
+	return isNew
+}
+
+func (n *Notices) set(now time.Time, vm ports.VM, recorded notice) {
+	key := instanceOf(vm)
+	if _, known := n.byInstance[key]; !known {
 		n.prune(now)
 	}
-	recorded.isLeaving, recorded.recordedAt = true, now
+	recorded.recordedAt = now
 	n.byInstance[key] = recorded
-	return true
 }
 
 func (n *Notices) prune(now time.Time) {
 	for key, recorded := range n.byInstance {
-		if now.Sub(recorded.recordedAt) >= noticeLifetime {
+		if now.Sub(recorded.recordedAt) >= noticeLifetime && !now.Before(recorded.pausedUntil) {
 			delete(n.byInstance, key)
 		}
 	}
@@ -74,21 +94,41 @@
 		}
 		leavingChanged = leavingChanged || recorded.isLeaving && !server.isLeaving()
 		server.saidLeaving = server.saidLeaving || recorded.isLeaving
+		server.pausedUntil = recorded.pausedUntil
 	}
 	if leavingChanged {
 		p.assignLongPromptServers()
 	}
 }
 
-// CanServe reports whether a server of the pool may get the call, now or once it has
-// room: one that is not leaving and on which the call has not failed.
-func (p *Pool) CanServe(work *Work) bool {
-	return slices.ContainsFunc(p.servers, func(s *Server) bool {
-		return !s.isLeaving() && !slices.Contains(work.FailedServers, s.vm.Name)
-	})
+// EarliestFree returns the earliest time from which a server of the pool other than the
+// excluded ones takes calls as it has room: now, or the end of the first pause. It
+// reports false if all of them are leaving.
+func (p *Pool) EarliestFree(now time.Time, excluded []ports.VMName) (time.Time, bool) {
+	var earliest time.Time
+	found := false
+	for _, server := range p.servers {
+		if server.isLeaving() || slices.Contains(excluded, server.vm.Name) {
+			continue
+		}
+		if !server.pausedUntil.After(now) {
+			return now, true
+		}
+		if !found || server.pausedUntil.Before(earliest) {
+			earliest, found = server.pausedUntil, true
+		}
+	}
+	return earliest, found
 }
 
-// AllLeaving reports whether every server of the pool is leaving.
-func (p *Pool) AllLeaving() bool {
-	return !slices.ContainsFunc(p.servers, func(s *Server) bool { return !s.isLeaving() })
+// NextPauseEnd returns when the next pause of a server of the pool ends. It reports
+// false if no server pauses.
+func (p *Pool) NextPauseEnd(now time.Time) (time.Time, bool) {
+	var next time.Time
+	for _, server := range p.servers {
+		if server.pausedUntil.After(now) && (next.IsZero() || server.pausedUntil.Before(next)) {
+			next = server.pausedUntil
+		}
+	}
+	return next, !next.IsZero()
 }
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -39,6 +39,8 @@
 	takesLongPrompts bool
 	// saidLeaving reports whether the server said in an answer that it is leaving.
 	saidLeaving bool
+	// pausedUntil is when the pause ends that the server asked for.
+	pausedUntil time.Time
 	// removed reports whether the server has left the list.
 	removed bool
 }
@@ -100,7 +102,7 @@
 }
 
 func (s *Server) accepts(now time.Time, work *Work) bool {
-	return !s.isLeaving() && s.health.accepts(now, s.ownLoad.Calls) && !slices.Contains(work.FailedServers, s.vm.Name)
+	return !s.isLeaving() && !now.Before(s.pausedUntil) && s.health.accepts(now, s.ownLoad.Calls) && !slices.Contains(work.FailedServers, s.vm.Name)
 }
 
 // isLeaving reports whether the server is leaving, by the list or by its own answer.
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -205,11 +205,14 @@
 	ServerFaultLeaving
 	// ServerFaultFailed means that the server answered with an error of its own.
 	ServerFaultFailed
+	// ServerFaultPushedBack means that the server asked for a pause, which was recorded
+	// with ServerNotices. It is no failure.
+	ServerFaultPushedBack
 )
 
 // String implements fmt.Stringer.
 func (f ServerFault) String() string {
-	names := [...]string{"none", "unreachable", "broken", "silent", "overloaded", "leaving", "failed"}
+	names := [...]string{"none", "unreachable", "broken", "silent", "overloaded", "leaving", "failed", "pushed-back"}
 	if int(f) >= len(names) {
 		return "invalid"
 	}
@@ -232,6 +235,11 @@
 	// RecordLeaving records that the server is leaving. A call that has no slot when
 	// RecordLeaving returns gets none of this server.
 	RecordLeaving(server VM)
+	// RecordPushback records that the server turned a call away and asked for a pause:
+	// it gets no calls until the pause has ended. RecordPushback returns the time after
+	// which the caller should retry, when a server of the service is free again; zero
+	// if one is free now.
+	RecordPushback(server VM, pause time.Duration) time.Duration
 }
 
 // RunResult is the result of one run on one backend server.
