--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -24,12 +24,13 @@
 	"hawthornstream/internal/ports"
 )
 
-// Module provides ports.SlotBroker and ports.SharingView.
+// Module provides ports.SlotBroker, ports.SharingView and ports.ServerNotices.
 var Module = fx.Module("dispatch",
 	fx.Provide(
 		NewManager,
 		func(m *Manager) ports.SlotBroker { return m },
 		func(m *Manager) ports.SharingView { return m },
+		func(m *Manager) ports.ServerNotices { return m },
 	),
 	fx.Invoke(func(lifecycle fx.Lifecycle, m *Manager) {
 		lifecycle.Append(fx.StartStopHook(m.Run, m.Stop))
@@ -49,19 +50,22 @@
 	List ports.ServerListFeed `optional:"true"`
 }
 
-// Manager implements ports.SlotBroker. It is safe for concurrent use.
+// Manager implements ports.SlotBroker and ports.ServerNotices. It is safe for concurrent use.
 type Manager struct {
 	logger           *log.Logger
 	limiter          *logging.Limiter
 	exclusionCounter *metrics.CounterVec
 	// resumptionCounter counts the streams that callers resume.
 	resumptionCounter *metrics.CounterVec
+	leavingCounter    *metrics.CounterVec
+	pushbackCounter   *metrics.CounterVec
 	directory         ports.Directory
 	transport         ports.PeerTransport
 	configuration     ports.ConfigurationSource
 	lists             *listExchange
 	origins           *originExchange
 	changeSignal      chan struct{}
+	pauseSignal       chan struct{}
 	stop              chan struct{}
 	stopOnce          sync.Once
 	loops             sync.WaitGroup
@@ -72,6 +76,7 @@
 	document          *configuration.Document
 	pools             map[ports.ServiceName]*core.Pool
 	versionHistories  map[ports.ServiceName]*streamorigin.VersionHistory
+	notices           *core.Notices
 	shares            *core.ShareTracker
 	waiters           []*waiter
 	waitersResolvedAt time.Time
@@ -83,21 +88,26 @@
 // NewManager returns a manager and registers its message handlers. The manager
 // does nothing else before Run.
 func NewManager(p Params) *Manager {
+	scope := p.Scope.SubScope("dispatch")
 	m := &Manager{
 		logger:            p.Logger,
 		limiter:           logging.NewLimiter(p.Logger),
-		exclusionCounter:  metrics.NewCounterVec(p.Scope.SubScope("dispatch"), "servers_excluded", "service", "fault"),
-		resumptionCounter: metrics.NewCounterVec(p.Scope.SubScope("dispatch"), "stream_resumptions", "service", "source", "reason"),
+		exclusionCounter:  metrics.NewCounterVec(scope, "servers_excluded", "service", "fault"),
+		resumptionCounter: metrics.NewCounterVec(scope, "stream_resumptions", "service", "source", "reason"),
+		leavingCounter:    metrics.NewCounterVec(scope, "servers_leaving", "service"),
+		pushbackCounter:   metrics.NewCounterVec(scope, "server_pushbacks", "service"),
 		directory:         p.Directory,
 		transport:         p.Transport,
 		configuration:     p.Configuration,
 		lists:             newListExchange(p.List),
 		origins:           newOriginExchange(p.Directory, p.Transport),
 		changeSignal:      make(chan struct{}, 1),
+		pauseSignal:       make(chan struct{}, 1),
 		stop:              make(chan struct{}),
 		document:          &configuration.Document{},
 		pools:             make(map[ports.ServiceName]*core.Pool),
 		versionHistories:  make(map[ports.ServiceName]*streamorigin.VersionHistory),
+		notices:           core.NewNotices(),
 		shares:            core.NewShareTracker(),
 		peerReports:       make(map[core.Source]*core.PeerReports),
 	}
@@ -145,12 +155,19 @@
 	m.refresh()
 	reportTimer := time.NewTimer(reportPeriod)
 	defer reportTimer.Stop()
+	pauseTimer := time.NewTimer(maxPauseCheckPeriod)
+	defer pauseTimer.Stop()
 	for {
 		select {
 		case <-m.stop:
 			return
 		case <-m.changeSignal:
 			m.refresh()
+		case <-m.pauseSignal:
+			pauseTimer.Reset(m.untilPauseEnd(time.Now()))
+		case now := <-pauseTimer.C:
+			m.lockAndUpdate(now)
+			pauseTimer.Reset(m.untilPauseEnd(now))
 		case now := <-reportTimer.C:
 			period := m.sendLoadMessages(now)
 			m.lockAndUpdate(now)
@@ -193,6 +210,7 @@
 		servers := m.directory.Servers(name)
 		m.logServerChanges(name, pool.VMs(), servers)
 		pool.SetServers(servers)
+		pool.ApplyNotices(m.notices)
 	}
 	now := time.Now()
 	m.observeVersions(now, isFresh)
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -37,6 +37,10 @@
 	pendingSince []time.Time
 	// takesLongPrompts reports whether the server is assigned to long prompts.
 	takesLongPrompts bool
+	// saidLeaving reports whether the server said in an answer that it is leaving.
+	saidLeaving bool
+	// pausedUntil is when the pause ends that the server asked for.
+	pausedUntil time.Time
 	// removed reports whether the server has left the list.
 	removed bool
 }
@@ -98,15 +102,21 @@
 }
 
 func (s *Server) accepts(now time.Time, work *Work) bool {
-	return s.mayRun(work) && s.health.accepts(now, s.ownLoad.Calls)
+	return s.mayRun(work) && !now.Before(s.pausedUntil) && s.health.accepts(now, s.ownLoad.Calls)
 }
 
-// mayRun reports whether the server may run the call once its health permits it.
+// mayRun reports whether the server may run the call once its health and its pause
+// permit it.
 func (s *Server) mayRun(work *Work) bool {
-	return !s.vm.Leaving && !slices.Contains(work.FailedServers, s.vm.Name) &&
+	return !s.isLeaving() && !slices.Contains(work.FailedServers, s.vm.Name) &&
 		(work.SoftwareVersion == "" || work.SoftwareVersion == s.vm.SoftwareVersion)
 }
 
+// isLeaving reports whether the server is leaving, by the list or by its own answer.
+func (s *Server) isLeaving() bool {
+	return s.vm.Leaving || s.saidLeaving
+}
+
 // rendezvousScore orders the servers for a prompt prefix. The server with the
 // highest score in a failure domain is the prefix's preferred server there.
 func (s *Server) rendezvousScore(prefix PrefixHash) uint64 {
