--- a/testbench/soak/backends.go
+++ b/testbench/soak/backends.go
@@ -51,11 +51,25 @@
 	failureModeCount
 )
 
+// serverState is the state in the object of a backend server.
+type serverState string
+
+const (
+	stateReady    serverState = "ready"
+	stateDraining serverState = "draining"
+	// stateRemoved means that the server has no object.
+	stateRemoved serverState = ""
+)
+
 // backendServer is a fake backend server that reports the requests it runs to the
 // checker.
 type backendServer struct {
 	*platformtest.Server
 	service, zone string
+	// listedAddress is the address in the server's object: that of a proxied link to
+	// it, or its own if there is none.
+	listedAddress string
+	state         serverState
 	checker       *checker
 	failureMode   atomic.Int32
 	closed        chan struct{}
--- a/testbench/soak/checker.go
+++ b/testbench/soak/checker.go
@@ -132,6 +132,17 @@
 	c.drainDeadlines[server] = deadline
 }
 
+// extendDrainDeadlines moves the deadlines that have not passed yet to a later time.
+func (c *checker) extendDrainDeadlines(now, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for server, deadline := range c.drainDeadlines {
+		if deadline.After(now) {
+			c.drainDeadlines[server] = until
+		}
+	}
+}
+
 // addViolation adds a violation that was detected outside the checker.
 func (c *checker) addViolation(format string, values ...any) {
 	c.mu.Lock()
--- a/testbench/soak/soak.go
+++ b/testbench/soak/soak.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -49,6 +50,8 @@
 	// a daemon may need to restore its connections after a fault.
 	drainTimeout      = 8500 * time.Millisecond
 	revocationTimeout = 12500 * time.Millisecond
+	// daemonKind is the kind of the objects that daemons write to the store.
+	daemonKind = "hawthornstream-daemons"
 )
 
 // soakRun is the state of one run.
@@ -64,6 +67,11 @@
 	replacedServers      []*backendServer
 	daemons              []*daemon
 	configurationVersion int
+	// storeCopies are the copies from which the store may be restored, oldest first.
+	storeCopies []storeCopy
+	// rewriteAt and expireAt are when the effects of the last restore end; zero if
+	// they have.
+	rewriteAt, expireAt time.Time
 	// startedServers counts all backend servers that were started. Their names are
 	// numbered by it.
 	startedServers int
@@ -188,17 +196,17 @@
 	name := fmt.Sprintf("i-%s-%d", service, r.startedServers)
 	server := newBackendServer(name, service, fmt.Sprintf("z%d", 1+r.startedServers%2), r.checker)
 	r.servers = append(r.servers, server)
-	r.registerServer(server, "ready")
-}
-
-// registerServer writes the server object to the store, with the address of a proxied
-// link to the server. If the link can't be added, the object has the server's own
-// address.
-func (r *soakRun) registerServer(server *backendServer, state string) {
-	spec := server.Spec(server.service, server.zone, state)
+	server.listedAddress, server.state = server.Address(), stateReady
 	if link, err := r.network.AddLink("daemons", server.Name, server.Address(), 0); err == nil {
-		spec["address"] = link.Address()
+		server.listedAddress = link.Address()
 	}
+	r.writeServer(server)
+}
+
+// writeServer writes the server object to the store.
+func (r *soakRun) writeServer(server *backendServer) {
+	spec := server.Spec(server.service, server.zone, string(server.state))
+	spec["address"] = server.listedAddress
 	r.store.Set("servers", server.Name, spec)
 }
 
@@ -225,8 +233,8 @@
 	return !r.revocationDeadline.IsZero() && time.Now().After(r.revocationDeadline)
 }
 
-// checkRecovery clears all faults and checks that calls are completed again and all
-// daemons run.
+// checkRecovery clears all faults and checks that calls are completed again, and that all
+// daemons run and have their objects in the store.
 func (r *soakRun) checkRecovery() {
 	r.clearFaults()
 	before := r.checker.completedCalls()
@@ -234,6 +242,9 @@
 		r.checker.addViolation("recovery: only %d calls completed in %v after the last fault", r.checker.completedCalls()-before, recoveryTimeout)
 	}
 	for _, d := range r.daemons {
+		if !waitUntil(recoveryTimeout, func() bool { return slices.Contains(r.store.Names(daemonKind), d.Name) }) {
+			r.checker.addViolation("registration: %s is not in the store %v after the last fault", d.Name, recoveryTimeout)
+		}
 		if !d.Running() {
 			r.checker.addViolation("exited: %s is not running after the faults: %s", d.Name, logTail(d.Log()))
 		}
--- a/testbench/soak/soak_test.go
+++ b/testbench/soak/soak_test.go
@@ -25,6 +25,8 @@
 	3002,
 	// The same cause, at the restart after a kill.
 	3016,
+	// The store is restored from an older copy.
+	11,
 }
 
 func TestGuaranteesHoldUnderFaults(t *testing.T) {
