--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -222,6 +222,7 @@
 	defer m.mu.Unlock()
 	m.observeVersions(now, isFresh)
 	m.resolveWaiters(now)
+	m.logShares(now)
 }
 
 // endWait ends a wait with the refusal or, if that is nil, with the refusal for
--- a/internal/app/dispatch/logging.go
+++ b/internal/app/dispatch/logging.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	core "hawthornstream/internal/core/dispatch"
 	"hawthornstream/internal/ports"
 )
@@ -46,3 +48,27 @@
 		Str("domain", string(vm.Domain)).Str("address", vm.Address).
 		Str("softwareVersion", vm.SoftwareVersion).Uint64("listVersion", version).Msg("")
 }
+
+const (
+	// sharesLogPeriod is the time between two logs of the contended shares.
+	sharesLogPeriod = time.Second
+	// maxLoggedShares is the number of workspaces in one log of the contended shares:
+	// those with the highest demand at this daemon.
+	maxLoggedShares = 5
+)
+
+// logShares logs the rates of the workspaces that demand more than their fair share.
+// The caller holds the mutex.
+func (m *Manager) logShares(now time.Time) {
+	if now.Sub(m.sharesLoggedAt) < sharesLogPeriod {
+		return
+	}
+	m.sharesLoggedAt = now
+	contended := m.shares.Contended(now, m.shareTarget)
+	for _, status := range contended[:min(len(contended), maxLoggedShares)] {
+		m.logger.Info().Str("event", "share-contended").Str("workspace", string(status.Workspace)).
+			Int64("ownDemand", int64(status.Own.Demand)).Int64("ownGranted", int64(status.Own.Granted)).
+			Int64("demand", int64(status.Total.Demand)).Int64("granted", int64(status.Total.Granted)).
+			Int64("fairRate", int64(status.FairRate)).Int64("ceiling", int64(status.Ceiling)).Msg("")
+	}
+}
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -82,6 +82,7 @@
 	waitersResolvedAt time.Time
 	peerReports       map[core.Source]*core.PeerReports
 	peersMergedAt     time.Time
+	sharesLoggedAt    time.Time
 	exchange          exchangeState
 }
 
