--- /dev/null
+++ b/internal/core/dispatch/sharecap_test.go
@@ -0,0 +1,207 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"hawthornstream/internal/ports"
+)
+
+// simulatedShares is a fleet of daemons that exchange rates as app/dispatch does, before
+// servers that always have room: only the cap limits a workspace.
+type simulatedShares struct {
+	now     time.Time
+	random  *rand.Rand
+	daemons []*simulatedSharer
+	// inFlight are the reports that have not arrived yet.
+	inFlight []simulatedReport
+	// granted are the tokens granted to each workspace in each second.
+	granted map[ports.WorkspaceID][]float64
+}
+
+// simulatedSharer is one daemon of a simulatedShares.
+type simulatedSharer struct {
+	name    ports.DaemonID
+	domain  ports.FailureDomain
+	tracker *ShareTracker
+	// demand holds the tokens per second that arrive, and served the tokens per second
+	// for which the daemon has processor time; missing for no limit.
+	demand, served map[ports.WorkspaceID]float64
+	// pending are tokens that arrived and make no whole call yet, idle is processor
+	// time that was not used yet, in tokens.
+	pending, idle     map[ports.WorkspaceID]float64
+	nextReport        time.Time
+	nextAggregate     time.Time
+	reportsAggregates bool
+}
+
+type simulatedReport struct {
+	arrivesAt time.Time
+	source    Source
+	rates     map[ports.WorkspaceID]Rates
+	// toDomain is the failure domain that gets the report.
+	toDomain ports.FailureDomain
+}
+
+const (
+	simulatedDomains         = 6
+	simulatedDaemonsOfDomain = 14
+	simulatedCallTokens      = 7000.0
+	simulatedTick            = 10 * time.Millisecond
+	simulatedLinkDelay       = 12 * time.Millisecond
+	// The reports of a fleet of 84 daemons: see the periods of app/dispatch.
+	simulatedReportPeriod    = 720 * time.Millisecond
+	simulatedAggregatePeriod = 1440 * time.Millisecond
+)
+
+func newSimulatedShares(seed uint64) *simulatedShares {
+	f := &simulatedShares{now: start, random: rand.New(rand.NewPCG(seed, 0)), granted: make(map[ports.WorkspaceID][]float64)}
+	for i := range simulatedDomains * simulatedDaemonsOfDomain {
+		f.daemons = append(f.daemons, &simulatedSharer{
+			name:    ports.DaemonID(fmt.Sprint("d", i)),
+			domain:  ports.FailureDomain(fmt.Sprint("z", i/simulatedDaemonsOfDomain)),
+			tracker: NewShareTracker(),
+			demand:  make(map[ports.WorkspaceID]float64), served: make(map[ports.WorkspaceID]float64),
+			pending: make(map[ports.WorkspaceID]float64), idle: make(map[ports.WorkspaceID]float64),
+			nextReport:        start.Add(time.Duration(f.random.Float64() * float64(simulatedReportPeriod))),
+			nextAggregate:     start.Add(time.Duration(f.random.Float64() * float64(simulatedAggregatePeriod))),
+			reportsAggregates: i%simulatedDaemonsOfDomain < aggregatorsPerDomain,
+		})
+	}
+	return f
+}
+
+// run simulates the seconds with the given capacity in tokens per second.
+func (f *simulatedShares) run(seconds int, capacity float64) {
+	for range seconds {
+		for end := f.now.Add(time.Second); f.now.Before(end); f.now = f.now.Add(simulatedTick) {
+			f.deliverReports()
+			for _, d := range f.daemons {
+				f.report(d)
+				for workspace := range d.demand {
+					f.arrive(d, workspace, capacity)
+				}
+			}
+		}
+		for workspace, grants := range f.granted {
+			f.granted[workspace] = append(grants, 0)
+		}
+	}
+}
+
+// arrive lets one tick's calls of a workspace arrive at a daemon.
+func (f *simulatedShares) arrive(d *simulatedSharer, workspace ports.WorkspaceID, capacity float64) {
+	d.pending[workspace] += d.demand[workspace] * simulatedTick.Seconds() * (0.5 + f.random.Float64())
+	served, isLimited := d.served[workspace]
+	d.idle[workspace] = min(d.idle[workspace]+served*simulatedTick.Seconds(), 2*simulatedCallTokens)
+	for ; d.pending[workspace] >= simulatedCallTokens; d.pending[workspace] -= simulatedCallTokens {
+		d.tracker.RecordDemand(f.now, workspace, simulatedCallTokens)
+		overuse := d.tracker.Overuse(f.now, workspace, capacity, equalTarget)
+		if overuse > 1 && d.tracker.IsCapped(workspace, equalTarget) {
+			continue
+		}
+		if isLimited && d.idle[workspace] < simulatedCallTokens {
+			continue
+		}
+		d.idle[workspace] -= simulatedCallTokens
+		d.tracker.RecordGrant(f.now, workspace, simulatedCallTokens)
+		if f.granted[workspace] == nil {
+			f.granted[workspace] = make([]float64, int(f.now.Sub(start).Seconds())+1)
+		}
+		f.granted[workspace][len(f.granted[workspace])-1] += simulatedCallTokens
+	}
+}
+
+// report sends the reports that a daemon owes.
+func (f *simulatedShares) report(d *simulatedSharer) {
+	if !f.now.Before(d.nextReport) {
+		d.nextReport = f.now.Add(f.jitter(simulatedReportPeriod))
+		f.send(simulatedReport{source: Source{Daemon: d.name}, rates: d.tracker.OwnRates(f.now), toDomain: d.domain})
+	}
+	if d.reportsAggregates && !f.now.Before(d.nextAggregate) {
+		d.nextAggregate = f.now.Add(f.jitter(simulatedAggregatePeriod))
+		sums := d.tracker.DomainRates(f.now)
+		for i := range simulatedDomains {
+			if domain := ports.FailureDomain(fmt.Sprint("z", i)); domain != d.domain {
+				f.send(simulatedReport{source: Source{Domain: d.domain}, rates: sums, toDomain: domain})
+			}
+		}
+	}
+}
+
+func (f *simulatedShares) jitter(period time.Duration) time.Duration {
+	return time.Duration(float64(period) * (0.9 + 0.2*f.random.Float64()))
+}
+
+func (f *simulatedShares) send(report simulatedReport) {
+	report.arrivesAt = f.now.Add(simulatedLinkDelay)
+	f.inFlight = append(f.inFlight, report)
+}
+
+func (f *simulatedShares) deliverReports() {
+	waiting := f.inFlight[:0]
+	for _, report := range f.inFlight {
+		if f.now.Before(report.arrivesAt) {
+			waiting = append(waiting, report)
+			continue
+		}
+		for _, d := range f.daemons {
+			if d.domain == report.toDomain && d.name != report.source.Daemon {
+				d.tracker.SetPeerRates(f.now, report.source, report.rates)
+			}
+		}
+	}
+	f.inFlight = waiting
+}
+
+// grantedIn returns the tokens granted to a workspace in the seconds from, inclusive, to
+// to, exclusive.
+func (f *simulatedShares) grantedIn(workspace ports.WorkspaceID, from, to int) float64 {
+	sum := 0.0
+	for _, tokens := range f.granted[workspace][from:to] {
+		sum += tokens
+	}
+	return sum
+}
+
+// The callers of one workspace reach all daemons, those of others one or two daemons that
+// have processor time for a part of them. The daemons learn of each other's grants
+// seconds late. The first workspace may not get twice what another one gets that asks for
+// as much.
+func TestSpreadWorkspaceStaysWithinTwiceAnUnderservedOne(t *testing.T) {
+	const (
+		capacity    = 2_900_000.0
+		demand      = 4_500_000.0
+		comparedFor = 6
+		settledFrom = 6
+		seconds     = 30
+	)
+	for seed := range uint64(5) {
+		f := newSimulatedShares(seed)
+		for _, d := range f.daemons {
+			d.demand["spread"] = 2 * demand / float64(len(f.daemons))
+		}
+		for i, servedPerSecond := range []float64{650_000, 800_000, 900_000, 1_000_000} {
+			workspace := ports.WorkspaceID(fmt.Sprint("narrow-", i))
+			for _, d := range f.daemons[20*i : 20*i+2] {
+				d.demand[workspace], d.served[workspace] = demand/2, servedPerSecond/2
+			}
+		}
+		f.run(seconds, capacity)
+		for from := settledFrom; from+comparedFor <= seconds; from++ {
+			spread, narrow := f.grantedIn("spread", from, from+comparedFor), f.grantedIn("narrow-0", from, from+comparedFor)
+			if spread >= 2*narrow {
+				t.Errorf("seed %d, from second %d: the spread workspace got %.2f times as much, %.0f tokens by second",
+					seed, from, spread/narrow, f.granted["spread"])
+				break
+			}
+			if spread < narrow {
+				t.Errorf("seed %d, from second %d: the spread workspace got only %.2f of the other one, %.0f tokens by second",
+					seed, from, spread/narrow, f.granted["spread"])
+				break
+			}
+		}
+	}
+}
