BUDGET: quarantine prompt parts that end the servers which run them

Cause: a run that breaks counts against its server alone. Nothing connected the ends with what the servers ran, and every daemon placed the next request with the part on the next server. Class of fault: a failure caused by the request is blamed on whoever served it.

core/quarantine counts runs that break before their answer has lasted half a second against all shared parts of the prompt. An answer that lasts, or is whole, clears its parts, and a server that answers a later request takes its end back: lost answers, resets and servers that fail together blame no part for long. Daemons tell each other of ends, sound answers and signs of life with their loads, and of the parts in quarantine, so that one that has just started refuses them too.

--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -9,6 +9,7 @@
 
 	core "hawthornstream/internal/core/dispatch"
 	"hawthornstream/internal/core/outcome"
+	"hawthornstream/internal/core/quarantine"
 	"hawthornstream/internal/ports"
 )
 
@@ -22,6 +23,8 @@
 	call         *ports.Call
 	work         core.Work
 	waitingSince time.Time
+	// parts are the hashes of the parts of the prompt prefix.
+	parts []quarantine.PartHash
 	// replaces says that the call may take the place of a run that has not ended.
 	replaces bool
 	done     chan struct{}
@@ -29,6 +32,12 @@
 	refusal  *outcome.Refusal
 }
 
+func newWaiter(now time.Time, call *ports.Call) *waiter {
+	return &waiter{
+		call: call, work: core.WorkOf(call), parts: partHashes(call), waitingSince: now, done: make(chan struct{}),
+	}
+}
+
 func (w *waiter) refuse(refusal *outcome.Refusal) {
 	w.refusal = refusal
 	close(w.done)
@@ -42,7 +51,10 @@
 	if !now.Before(call.Deadline) {
 		return nil, deadlineRefusal()
 	}
-	w := &waiter{call: call, work: core.WorkOf(call), waitingSince: now, done: make(chan struct{})}
+	w := newWaiter(now, call)
+	if refusal := m.quarantineRefusal(now, w); refusal != nil {
+		return nil, refusal
+	}
 	if call.IsResumption() && len(call.FailedServers) == 0 {
 		decision, refusal := m.resolveResumption(ctx, call)
 		if refusal != nil {
@@ -89,7 +101,8 @@
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	w := &waiter{call: call, work: core.WorkOf(call), waitingSince: now, replaces: true, done: make(chan struct{})}
+	w := newWaiter(now, call)
+	w.replaces = true
 	m.mergePeerLoads(now)
 	if !m.tryResolve(now, w, (*core.Pool).ChooseReplacement) || w.slot == nil {
 		return nil, false
@@ -114,6 +127,10 @@
 		w.refuse(stoppingRefusal())
 		return true
 	}
+	if refusal := m.quarantineRefusalLocked(now, w); refusal != nil {
+		w.refuse(refusal)
+		return true
+	}
 	pool, ok := m.pools[w.call.Service]
 	if !ok || len(pool.Servers()) == 0 {
 		w.refuse(noServerRefusal("no backend server of the service is known"))
@@ -187,6 +204,7 @@
 	s := &slot{
 		manager: m,
 		call:    w.call,
+		parts:   w.parts, instance: quarantine.InstanceOf(choice.Server.VM()), grantedAt: now,
 		server:  choice.Server.VM(),
 		booking: book(now, choice, &w.work),
 		grantDetails: ports.GrantDetails{
--- a/internal/app/dispatch/exchange.go
+++ b/internal/app/dispatch/exchange.go
@@ -94,7 +94,9 @@
 	if now.Sub(m.exchange.ratesSentAt) >= ratesPeriod {
 		m.exchange.ratesSentAt = now
 		message.Rates = toWorkspaceRates(m.shares.OwnRates(now))
+		message.QuarantineEnds = toServerEnds(now, m.quarantine.QuarantineEnds(now))
 	}
+	addPartUpdates(now, message, m.quarantine.TakeDomainUpdates())
 	return message
 }
 
@@ -104,8 +106,10 @@
 	m.exchange.aggregateSentAt = now
 	message := &ports.LoadMessage{
 		Sequence: m.exchange.sequence, Domain: m.directory.Self().Domain,
-		Rates: toWorkspaceRates(m.shares.DomainRates(now)),
+		Rates:          toWorkspaceRates(m.shares.DomainRates(now)),
+		QuarantineEnds: toServerEnds(now, m.quarantine.QuarantineEnds(now)),
 	}
+	addPartUpdates(now, message, m.quarantine.TakeCrossDomainUpdates())
 	message.SetServerList(digest)
 	for service, pool := range m.pools {
 		message.CachedPrefixes = appendCachedPrefixes(message.CachedPrefixes, service, pool.TakeCrossDomainUpdates())
@@ -131,6 +135,7 @@
 
 // dropCrossDomainUpdates discards the updates that only aggregators send.
 func (m *Manager) dropCrossDomainUpdates() {
+	m.quarantine.TakeCrossDomainUpdates()
 	for _, pool := range m.pools {
 		pool.TakeCrossDomainUpdates()
 	}
@@ -201,6 +206,7 @@
 	}
 	reports.Record(now, message.Sequence, loads)
 	m.recordPeerRates(now, source, message.Rates)
+	m.mergeParts(now, message, source.Domain == "")
 	for _, prefix := range message.CachedPrefixes {
 		if pool, ok := m.pools[prefix.Service]; ok {
 			cached := core.CachedPrefix{PrefixHash: core.PrefixHash(prefix.PrefixHash), Server: prefix.Server}
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -20,6 +20,7 @@
 	"hawthornstream/internal/adapters/metrics"
 	"hawthornstream/internal/core/configuration"
 	core "hawthornstream/internal/core/dispatch"
+	"hawthornstream/internal/core/quarantine"
 	"hawthornstream/internal/core/streamorigin"
 	"hawthornstream/internal/ports"
 )
@@ -59,6 +60,7 @@
 	resumptionCounter *metrics.CounterVec
 	leavingCounter    *metrics.CounterVec
 	pushbackCounter   *metrics.CounterVec
+	quarantineCounter *metrics.CounterVec
 	directory         ports.Directory
 	transport         ports.PeerTransport
 	configuration     ports.ConfigurationSource
@@ -78,6 +80,7 @@
 	versionHistories  map[ports.ServiceName]*streamorigin.VersionHistory
 	notices           *core.Notices
 	shares            *core.ShareTracker
+	quarantine        *quarantine.Table
 	waiters           []*waiter
 	waitersResolvedAt time.Time
 	peerReports       map[core.Source]*core.PeerReports
@@ -97,6 +100,7 @@
 		resumptionCounter: metrics.NewCounterVec(scope, "stream_resumptions", "service", "source", "reason"),
 		leavingCounter:    metrics.NewCounterVec(scope, "servers_leaving", "service"),
 		pushbackCounter:   metrics.NewCounterVec(scope, "server_pushbacks", "service"),
+		quarantineCounter: metrics.NewCounterVec(scope, "prompt_parts_quarantined", "source"),
 		directory:         p.Directory,
 		transport:         p.Transport,
 		configuration:     p.Configuration,
@@ -110,6 +114,7 @@
 		versionHistories:  make(map[ports.ServiceName]*streamorigin.VersionHistory),
 		notices:           core.NewNotices(),
 		shares:            core.NewShareTracker(),
+		quarantine:        quarantine.NewTable(),
 		peerReports:       make(map[core.Source]*core.PeerReports),
 	}
 	p.Transport.Handle(ports.KindLoad,
--- a/internal/app/dispatch/slot.go
+++ b/internal/app/dispatch/slot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	core "hawthornstream/internal/core/dispatch"
+	"hawthornstream/internal/core/quarantine"
 	"hawthornstream/internal/ports"
 )
 
@@ -16,6 +17,16 @@
 	booking       *core.Booking
 	grantDetails  ports.GrantDetails
 	firstByteSeen atomic.Bool
+	// parts are the hashes of the parts of the prompt prefix.
+	parts []quarantine.PartHash
+	// instance identifies the server since its start, and grantedAt is when the call got
+	// the slot.
+	instance  quarantine.ServerInstance
+	grantedAt time.Time
+	// answerBeganAt is when the first event arrived; zero before. soundRecorded is true
+	// once the answer has shown that the parts are sound.
+	answerBeganAt time.Time
+	soundRecorded bool
 }
 
 // Server implements ports.Slot.
@@ -31,13 +42,16 @@
 // Progress implements ports.Slot. The first call records the first byte.
 func (s *slot) Progress(ports.Cost) {
 	if s.firstByteSeen.Swap(true) {
+		s.recordLastingAnswer(time.Now())
 		return
 	}
 	now := time.Now()
+	s.answerBeganAt = now
 	s.manager.recordFirstEvent(now, s.call, s.server)
 	s.manager.mu.Lock()
 	defer s.manager.mu.Unlock()
 	s.booking.RecordFirstByte(now)
+	s.recordServerLife(now)
 	s.manager.resolveWaiters(now)
 }
 
@@ -52,7 +66,9 @@
 	defer s.manager.mu.Unlock()
 	if report.FirstByteAfter > 0 && !s.firstByteSeen.Swap(true) {
 		s.booking.RecordFirstByte(now)
+		s.recordServerLife(now)
 	}
+	s.recordParts(now, report)
 	change := s.booking.RecordEnd(now, report.Fault)
 	s.manager.resolveWaiters(now)
 	return change
--- a/internal/app/execution/retryloop.go
+++ b/internal/app/execution/retryloop.go
@@ -96,6 +96,7 @@
 	silent := r.newSilentTry(server)
 	call.MayAbandonSilent = silent.mayAbandon
 	result := r.backend.Run(runCtx, call, server, r.sink, slot.Progress)
+	result.Report.Reason = result.Reason
 	slot.Release(result.Report)
 	r.recordTry(server, result)
 	r.keepNextSlot(silent.end(), result)
--- a/internal/core/outcome/reason.go
+++ b/internal/core/outcome/reason.go
@@ -40,7 +40,8 @@
 	ReasonIdempotencyUnavailable Reason = "idempotency-unavailable" // the idempotency key can't be recorded now
 	ReasonIdempotencyInProgress  Reason = "idempotency-in-progress" // another attempt with the key is running
 	ReasonOutcomeUnknown         Reason = "outcome-unknown"
-	ReasonStreamOriginUnknown    Reason = "stream-origin-unknown" // the software version that began the stream is unknown
-	ReasonSoftwareVersionGone    Reason = "software-version-gone" // no server of the version that began the stream is left
+	ReasonStreamOriginUnknown    Reason = "stream-origin-unknown"   // the software version that began the stream is unknown
+	ReasonSoftwareVersionGone    Reason = "software-version-gone"   // no server of the version that began the stream is left
+	ReasonPartQuarantined        Reason = "prompt-part-quarantined" // a part of the prompt ends the servers that run it
 	ReasonInternal               Reason = "internal"
 )
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -116,6 +116,18 @@
 	return p.Parts[len(p.Parts)-2].ID
 }
 
+// SharedPartIDs returns the IDs of the parts of the prompt prefix.
+func (p *Prompt) SharedPartIDs() []string {
+	if p == nil || len(p.Parts) < 2 {
+		return nil
+	}
+	ids := make([]string, 0, len(p.Parts)-1)
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // UniqueTokens returns the number of prompt tokens after the prompt prefix.
 func (p *Prompt) UniqueTokens() int {
 	unique := p.InputTokens
@@ -208,6 +220,8 @@
 	LongestPause time.Duration
 	// Fault is the fault that the server showed during the run.
 	Fault ServerFault
+	// Reason is why the run gave no whole answer, as in RunResult; empty if it did.
+	Reason outcome.Reason
 }
 
 // ServerFault is a fault of a backend server that a run revealed.
--- a/internal/ports/dispatch_messages.go
+++ b/internal/ports/dispatch_messages.go
@@ -24,6 +24,43 @@
 	// CachedPrefixes are the prompt prefixes that the sender sent to backend
 	// servers since its last message to the receiver.
 	CachedPrefixes []CachedPrefix `cbor:"4,keyasint,omitempty"`
+	// ServerEnds, SoundAnswers and SignsOfLife are what the sender has learned of
+	// suspected prompt parts since its last message to the receiver.
+	ServerEnds   []ServerEnd   `cbor:"9,keyasint,omitempty"`
+	SoundAnswers []SoundAnswer `cbor:"10,keyasint,omitempty"`
+	SignsOfLife  []SignOfLife  `cbor:"12,keyasint,omitempty"`
+	// QuarantineEnds are the ends of all parts whose calls the sender refuses. They are
+	// present in the messages with Rates.
+	QuarantineEnds []ServerEnd `cbor:"11,keyasint,omitempty"`
+}
+
+// ServerEnd reports that a backend server broke the connection of a run with a prompt
+// part before the run had a sound answer.
+type ServerEnd struct {
+	_ struct{} `cbor:",toarray"`
+	// Part is the hash of the part and its service, Server that of the server and its
+	// start.
+	Part, Server uint64
+	// AgeMillis is the time in milliseconds since then.
+	AgeMillis int64
+}
+
+// SoundAnswer reports an answer to a prompt with a part that did not end its server.
+type SoundAnswer struct {
+	_ struct{} `cbor:",toarray"`
+	// Part is the hash of the part and its service.
+	Part uint64
+	// AgeMillis is the time in milliseconds since the answer began.
+	AgeMillis int64
+}
+
+// SignOfLife reports that a backend server answered a request.
+type SignOfLife struct {
+	_ struct{} `cbor:",toarray"`
+	// Server is the hash of the server and its start.
+	Server uint64
+	// AgeMillis is the time in milliseconds since the request was sent.
+	AgeMillis int64
 }
 
 // CachedPrefix reports that a backend server has a prompt prefix cached.
