BUDGET: give up a stream that brings bytes but no event

Empty lines and comments were skipped without a limit: the call ended at its deadline, 4 s in the stand-in, and the daemon read all the while. They are limited like an event now.

TestEndlessBytesBetweenEventsAreInvalid and the case "lines of nothing" of TestAnswerWithoutEndIsAbandoned failed before. The other cases passed before: endless heads, header lines, status lines, interim answers, chunk extensions, events and comments, and all of TestAnswerWithoutLengthOrChunksEndsWithItsConnection, which plays answers, streams too, that end with their connection.

--- a/internal/adapters/sse/sse.go
+++ b/internal/adapters/sse/sse.go
@@ -9,7 +9,8 @@
 	"strconv"
 )
 
-// maxEventBytes limits the size of one server-sent event.
+// maxEventBytes limits the size of one server-sent event, with the comments and empty
+// lines before it.
 const maxEventBytes = 1 << 20
 
 // DoneData is the data of the last event of a complete stream.
@@ -42,15 +43,17 @@
 // Next returns the next event that has data. It fails with io.EOF at the end of
 // the stream, with *TruncatedEventError when the stream ends inside an event,
 // with *InvalidEventError when an event can't be parsed, or with the error of
-// the underlying reader.
+// the underlying reader. Bytes without an event, such as comments, are limited like an
+// event.
 func (r *Reader) Next() (Event, error) {
 	var event Event
 	hasData := false
+	skipped := 0
 	r.raw = r.raw[:0]
 	for {
 		line, err := r.input.ReadSlice('\n')
 		r.raw = append(r.raw, line...)
-		if len(r.raw) > maxEventBytes {
+		if skipped+len(r.raw) > maxEventBytes {
 			return Event{}, &InvalidEventError{Cause: "event too long"}
 		}
 		if err == bufio.ErrBufferFull {
@@ -65,6 +68,7 @@
 		line = lastLine(r.raw)
 		if len(line) == 0 {
 			if !hasData {
+				skipped += len(r.raw)
 				r.raw = r.raw[:0]
 				continue
 			}
