BUDGET: play answers without length and without end in the soak

One answer in twelve of the soak's sound servers, streams too, has neither a length nor chunks and ends with its connection; servers that truncate answers also send bytes without end.

--- a/testbench/soak/backends.go
+++ b/testbench/soak/backends.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -63,7 +64,7 @@
 	// internalError runs the request and answers with status 500.
 	internalError
 	// truncateAnswer closes the connection during the answer, also within an event
-	// of a stream.
+	// of a stream, or sends bytes without end in place of the rest.
 	truncateAnswer
 	// declineRequest declines the request as a full server does, without running it.
 	declineRequest
@@ -159,6 +160,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.waitWhilePaused()
+	if mode == noFailure && rand.IntN(unframedEvery) == 0 {
+		s.sendUnframed(w, platformtest.StreamID(r), id, lastEvent)
+		return
+	}
 	if s.service == "llm" {
 		s.sendStream(w, platformtest.StreamID(r), lastEvent, mode == truncateAnswer)
 		return
@@ -166,6 +171,10 @@
 	body := "answer to " + id
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if mode == truncateAnswer {
+		if rand.IntN(2) == 0 {
+			w.Header().Del("Content-Length")
+			writeWithoutEnd(w)
+		}
 		_, _ = io.WriteString(w, body[:len(body)/2])
 		panic(http.ErrAbortHandler)
 	}
@@ -187,8 +196,48 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	if truncate {
+		if rand.IntN(4) == 0 {
+			writeWithoutEnd(w)
+		}
 		_, _ = io.WriteString(w, "id: 99\nda")
 		w.(http.Flusher).Flush()
 		panic(http.ErrAbortHandler)
 	}
 }
+
+// unframedEvery is the number of answers of which one has neither a length nor chunks and
+// ends with its connection.
+const unframedEvery = 12
+
+// sendUnframed sends a whole answer without a length or chunks and closes the connection.
+func (s *backendServer) sendUnframed(w http.ResponseWriter, streamID, id string, lastEvent int) {
+	body, contentType := "answer to "+id, "text/plain"
+	if s.service == "llm" {
+		body, contentType = "", "text/event-stream"
+		for event := lastEvent + 1; event <= streamEventCount; event++ {
+			body += streamEvent(streamID, event, s.version)
+		}
+	}
+	header := w.Header().Clone()
+	header.Set("Content-Type", contentType)
+	conn, buffered, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = conn.Close() }()
+	// A failed write means that the daemon has closed the connection.
+	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = header.Write(buffered)
+	_, _ = buffered.WriteString("\r\n" + body)
+	_ = buffered.Flush()
+}
+
+// writeWithoutEnd writes bytes that are no answer until the daemon closes the connection,
+// and aborts the handler.
+func writeWithoutEnd(w io.Writer) {
+	for {
+		if _, err := io.WriteString(w, strings.Repeat("x", 4096)); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
