--- a/internal/app/dispatch/quarantine.go
+++ b/internal/app/dispatch/quarantine.go
@@ -50,8 +50,12 @@
 
 // recordLastingAnswer records the parts of an answer as sound once it has lasted long
 // enough.
-func (s *slot) recordLastingAnswer(now time.Time) {
-	if s.soundRecorded || len(s.parts) == 0 || now.Sub(s.answerBeganAt) < quarantine.SoundAfter {
+func (s *slot) recordLastingAnswer() {
+	if s.soundRecorded || len(s.parts) == 0 {
+		return
+	}
+	now := time.Now()
+	if now.Sub(s.answerBeganAt) < quarantine.SoundAfter {
 		return
 	}
 	s.manager.mu.Lock()
--- a/internal/app/dispatch/slot.go
+++ b/internal/app/dispatch/slot.go
@@ -44,7 +44,7 @@
 // Progress implements ports.Slot. The first call records the first byte.
 func (s *slot) Progress(ports.Cost) {
 	if s.firstByteSeen.Swap(true) {
-		s.recordLastingAnswer(time.Now())
+		s.recordLastingAnswer()
 		return
 	}
 	now := time.Now()
