--- a/internal/core/dispatch/sharecap_test.go
+++ b/internal/core/dispatch/sharecap_test.go
@@ -262,3 +262,28 @@
 		}
 	}
 }
+
+// The callers of the underserved workspace move between the daemons of a failure domain,
+// as these leave the load balancer's rotation and return. The ceiling, which follows what
+// the workspace gets, must not hold it back.
+func TestCallersThatMoveBetweenDaemonsAreNotHeldBack(t *testing.T) {
+	const settledFrom, seconds = 8, 24
+	for seed := range uint64(3) {
+		f := newSimulatedShares(seed)
+		f.setDemand(simulatedDemand)
+		for second := range seconds {
+			for i, d := range f.daemons[:4] {
+				d.demand["narrow-0"], d.served["narrow-0"] = 0, 0
+				if i == second%4 {
+					d.demand["narrow-0"], d.served["narrow-0"] = 1_000_000, 650_000
+				}
+			}
+			f.run(1, simulatedCapacity)
+		}
+		served := f.grantedIn("narrow-0", settledFrom, seconds) / (650_000 * (seconds - settledFrom))
+		t.Logf("seed %d: %.2f of what the daemons can serve", seed, served)
+		if served < 0.85 {
+			t.Errorf("seed %d: only %.2f of what the daemons can serve is granted", seed, served)
+		}
+	}
+}
