LIMIT: divide the limits that servers name between the daemons

Callers saw nothing; servers in need got up to twice the requests that they take from the fleet: 115 to 151 in 4 s where 66 to 98 are allowed, since Server-Limit was not read.

core/dispatch learns limits from answers and from other daemons, and divides each without messages about who sends: as many senders as may send one request at once, floor(2.5 + L) of them at most, ranked by hash, half in the server's failure domain, each with an equal part. A bucket for each of 195 daemons would hold 195 requests for a server that takes 1.5. Absent daemons keep their parts for a minute, or ten if more than a quarter of the fleet is absent; a daemon that starts takes the fleet to have 16. Every request that is sent counts, also retries and replacements; where no server is left, callers are refused at once, each with a time of its own to return. The bucket is that of FAIR's pace; the division is not: pace follows demand, which is known seconds late, and one request is too large a unit for it.

--- a/internal/adapters/callerhttp/status.go
+++ b/internal/adapters/callerhttp/status.go
@@ -30,6 +30,7 @@
 	outcome.ReasonServerUnreachable:      http.StatusBadGateway,
 	outcome.ReasonServerOverloaded:       http.StatusServiceUnavailable,
 	outcome.ReasonServerLeaving:          http.StatusServiceUnavailable,
+	outcome.ReasonServerLimited:          http.StatusServiceUnavailable,
 	outcome.ReasonServerFailed:           http.StatusBadGateway,
 	outcome.ReasonFairShareExceeded:      http.StatusTooManyRequests,
 	outcome.ReasonConnectionBroken:       http.StatusBadGateway,
--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -89,6 +89,9 @@
 		return nil, refusal
 	}
 	m.waiters = append(m.waiters, w)
+	if pool, ok := m.pools[call.Service]; ok && pool.HasLimit() {
+		m.signalPause()
+	}
 	m.mu.Unlock()
 	timer := time.NewTimer(w.waitEnd().Sub(now))
 	defer timer.Stop()
@@ -167,7 +170,7 @@
 	case !found:
 		w.refuse(allLeavingRefusal())
 	case free.After(now):
-		w.refuse(allPausedRefusal(free.Sub(now)))
+		w.refuse(noneFreeRefusal(now, w, pool, free))
 	default:
 		w.refuse(noServerRefusal("no other backend server can serve the call"))
 	}
@@ -250,6 +253,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.observeVersions(now, isFresh)
+	m.updateLimits(now)
 	m.resolveWaiters(now)
 	m.logShares(now)
 }
@@ -286,6 +290,9 @@
 		return noServerRefusal("the service is gone from the configuration")
 	}
 	choice, ok := pool.Choose(now, &w.work, core.AdmissionTerms{Waited: now.Sub(w.call.Arrived)})
+	if free, found := pool.EarliestFree(now, nil); choice.Server == nil && found && free.After(now) {
+		return noneFreeRefusal(now, w, pool, free)
+	}
 	if choice.Server == nil {
 		return noServerRefusal("no backend server takes calls now")
 	}
@@ -327,6 +334,19 @@
 	return refusal
 }
 
+// noneFreeRefusal returns the refusal of a call of a service whose servers take no calls
+// before the time free, because of their limits or since they asked for a pause.
+func noneFreeRefusal(now time.Time, w *waiter, pool *core.Pool, free time.Time) *outcome.Refusal {
+	if !pool.HasLimit() {
+		return allPausedRefusal(free.Sub(now))
+	}
+	return &outcome.Refusal{
+		Reason: outcome.ReasonServerLimited, End: outcome.NotRun,
+		Detail:     "the backend servers take no more requests per second",
+		RetryAfter: pool.RetryAfterLimit(now, w.call.Deadline.Sub(now)),
+	}
+}
+
 // allPausedRefusal returns the refusal of a call of a service all of whose servers pause
 // for at least the given time.
 func allPausedRefusal(untilFree time.Duration) *outcome.Refusal {
--- a/internal/app/dispatch/exchange.go
+++ b/internal/app/dispatch/exchange.go
@@ -97,6 +97,7 @@
 		message.QuarantineEnds = toServerEnds(now, m.quarantine.QuarantineEnds(now))
 	}
 	addPartUpdates(now, message, m.quarantine.TakeDomainUpdates())
+	message.ServerLimits = toLimitReports(now, m.notices.TakeDomainLimits())
 	return message
 }
 
@@ -110,6 +111,7 @@
 		QuarantineEnds: toServerEnds(now, m.quarantine.QuarantineEnds(now)),
 	}
 	addPartUpdates(now, message, m.quarantine.TakeCrossDomainUpdates())
+	message.ServerLimits = toLimitReports(now, m.notices.TakeCrossDomainLimits())
 	message.SetServerList(digest)
 	for service, pool := range m.pools {
 		message.CachedPrefixes = appendCachedPrefixes(message.CachedPrefixes, service, pool.TakeCrossDomainUpdates())
@@ -136,6 +138,7 @@
 // dropCrossDomainUpdates discards the updates that only aggregators send.
 func (m *Manager) dropCrossDomainUpdates() {
 	m.quarantine.TakeCrossDomainUpdates()
+	m.notices.TakeCrossDomainLimits()
 	for _, pool := range m.pools {
 		pool.TakeCrossDomainUpdates()
 	}
@@ -207,6 +210,7 @@
 	reports.Record(now, message.Sequence, loads)
 	m.recordPeerRates(now, source, message.Rates)
 	m.mergeParts(now, message, source.Domain == "")
+	m.mergeLimits(now, message, source.Domain == "")
 	for _, prefix := range message.CachedPrefixes {
 		if pool, ok := m.pools[prefix.Service]; ok {
 			cached := core.CachedPrefix{PrefixHash: core.PrefixHash(prefix.PrefixHash), Server: prefix.Server}
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -10,6 +10,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -60,6 +61,7 @@
 	resumptionCounter *metrics.CounterVec
 	leavingCounter    *metrics.CounterVec
 	pushbackCounter   *metrics.CounterVec
+	limitCounter      *metrics.CounterVec
 	quarantineCounter *metrics.CounterVec
 	directory         ports.Directory
 	transport         ports.PeerTransport
@@ -68,9 +70,11 @@
 	origins           *originExchange
 	changeSignal      chan struct{}
 	pauseSignal       chan struct{}
-	stop              chan struct{}
-	stopOnce          sync.Once
-	loops             sync.WaitGroup
+	// limitedServers is the number of servers that name a limit, for RecordLimit.
+	limitedServers atomic.Int32
+	stop           chan struct{}
+	stopOnce       sync.Once
+	loops          sync.WaitGroup
 
 	// mu guards everything below.
 	mu                sync.Mutex
@@ -79,6 +83,7 @@
 	pools             map[ports.ServiceName]*core.Pool
 	versionHistories  map[ports.ServiceName]*streamorigin.VersionHistory
 	notices           *core.Notices
+	limitSharing      *core.LimitSharing
 	shares            *core.ShareTracker
 	quarantine        *quarantine.Table
 	waiters           []*waiter
@@ -100,6 +105,7 @@
 		resumptionCounter: metrics.NewCounterVec(scope, "stream_resumptions", "service", "source", "reason"),
 		leavingCounter:    metrics.NewCounterVec(scope, "servers_leaving", "service"),
 		pushbackCounter:   metrics.NewCounterVec(scope, "server_pushbacks", "service"),
+		limitCounter:      metrics.NewCounterVec(scope, "server_limit_changes", "service", "change"),
 		quarantineCounter: metrics.NewCounterVec(scope, "prompt_parts_quarantined", "source"),
 		directory:         p.Directory,
 		transport:         p.Transport,
@@ -113,6 +119,7 @@
 		pools:             make(map[ports.ServiceName]*core.Pool),
 		versionHistories:  make(map[ports.ServiceName]*streamorigin.VersionHistory),
 		notices:           core.NewNotices(),
+		limitSharing:      core.NewLimitSharing(time.Now(), p.Directory.Self()),
 		shares:            core.NewShareTracker(),
 		quarantine:        quarantine.NewTable(),
 		peerReports:       make(map[core.Source]*core.PeerReports),
@@ -170,10 +177,10 @@
 		case <-m.changeSignal:
 			m.refresh()
 		case <-m.pauseSignal:
-			pauseTimer.Reset(m.untilPauseEnd(time.Now()))
+			pauseTimer.Reset(m.untilNextFree(time.Now()))
 		case now := <-pauseTimer.C:
 			m.lockAndUpdate(now)
-			pauseTimer.Reset(m.untilPauseEnd(now))
+			pauseTimer.Reset(m.untilNextFree(now))
 		case now := <-reportTimer.C:
 			period := m.sendLoadMessages(now)
 			m.lockAndUpdate(now)
@@ -219,6 +226,7 @@
 		pool.ApplyNotices(m.notices)
 	}
 	now := time.Now()
+	m.updateLimits(now)
 	m.observeVersions(now, isFresh)
 	m.resolveWaiters(now)
 }
--- a/internal/app/dispatch/notices.go
+++ b/internal/app/dispatch/notices.go
@@ -53,10 +53,7 @@
 // RecordPushback implements ports.ServerNotices.
 func (m *Manager) RecordPushback(server ports.VM, pause time.Duration) time.Duration {
 	untilFree := m.applyPause(time.Now(), server, pause)
-	select {
-	case m.pauseSignal <- struct{}{}:
-	default:
-	}
+	m.signalPause()
 	m.pushbackCounter.Inc(string(server.Service))
 	if m.limiter.Allow(eventPushback, string(server.Service)) {
 		m.logger.Info().Str("event", eventPushback).Str("reason", "retry-after").Str("server", string(server.Name)).
@@ -85,17 +82,25 @@
 	return free.Sub(now)
 }
 
-// untilPauseEnd returns the time after which the waiting calls can use the next server
-// whose pause ends.
-func (m *Manager) untilPauseEnd(now time.Time) time.Duration {
+// untilNextFree returns the time after which the waiting calls can use the next server
+// whose pause ends or whose limit permits one more.
+func (m *Manager) untilNextFree(now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	next := now.Add(maxPauseCheckPeriod)
 	for _, pool := range m.pools {
-		if end, pauses := pool.NextPauseEnd(now); pauses && end.Before(next) {
-			next = end
+		if free, found := pool.NextFree(now); found && free.Before(next) {
+			next = free
 		}
 	}
 	// A pass over the waiting calls is omitted within resolveInterval of the last one.
 	return next.Sub(now) + resolveInterval
 }
+
+// signalPause makes the loop determine again when the next server takes calls.
+func (m *Manager) signalPause() {
+	select {
+	case m.pauseSignal <- struct{}{}:
+	default:
+	}
+}
--- a/internal/app/dispatch/notices_test.go
+++ b/internal/app/dispatch/notices_test.go
@@ -121,11 +121,11 @@
 // The end of a pause wakes the loop that serves the waiting calls.
 func TestLoopWakesAtEndOfNextPause(t *testing.T) {
 	m := newTestManager(t)
-	if wait := m.untilPauseEnd(time.Now()); wait < maxPauseCheckPeriod {
+	if wait := m.untilNextFree(time.Now()); wait < maxPauseCheckPeriod {
 		t.Errorf("wakes after %s without a pause", wait)
 	}
 	m.RecordPushback(onlyServer(), time.Minute)
-	if wait := m.untilPauseEnd(time.Now()); wait > time.Minute+resolveInterval || wait < 50*time.Second {
+	if wait := m.untilNextFree(time.Now()); wait > time.Minute+resolveInterval || wait < 50*time.Second {
 		t.Errorf("wakes after %s of a pause of a minute", wait)
 	}
 }
--- a/internal/app/dispatch/slot.go
+++ b/internal/app/dispatch/slot.go
@@ -77,6 +77,9 @@
 		s.booking.RecordFirstByte(now)
 		s.recordServerLife(now)
 	}
+	if report == (ports.RunReport{}) && !s.firstByteSeen.Load() {
+		s.booking.ReturnUnsent()
+	}
 	if s.tokens > 0 && !s.firstByteSeen.Load() {
 		s.manager.shares.CancelGrant(now, s.call.Workspace, s.tokens, s.grantedAt)
 	}
--- /dev/null
+++ b/internal/core/dispatch/limits.go
@@ -0,0 +1,233 @@
+package dispatch
+
+import (
+	"time"
+
+	"hawthornstream/internal/ports"
+)
+
+const (
+	// limitReportInterval is the time after which a limit that a server still names is
+	// reported to the other daemons again, for those that have started since.
+	limitReportInterval = 2 * time.Second
+	// minReturnRate is the least rate, in calls per second, at which one daemon lets
+	// refused callers return.
+	minReturnRate = 0.05
+	// neverFree is the time after which a server is free that this daemon doesn't send
+	// to, as others do.
+	neverFree = time.Hour
+)
+
+// limitNotice is what a server said last about the requests that it takes.
+type limitNotice struct {
+	limit ports.ServerLimit
+	// at is when the answer arrived that said so, here or at another daemon.
+	at time.Time
+	// reportedAt is when the limit was last reported to other daemons.
+	reportedAt time.Time
+}
+
+// LimitUpdate is a change of a server's limit that other daemons should know, or its
+// confirmation.
+type LimitUpdate struct {
+	Server        ports.VMName
+	StartedMillis int64
+	Limit         ports.ServerLimit
+	// At is when the server said so.
+	At time.Time
+}
+
+// limitUpdates are the servers whose limits are to be reported.
+type limitUpdates map[serverInstance]bool
+
+// RecordLimit records what an answer, which arrived now, says about the server's limit,
+// and reports whether that has changed. An answer that names no limit ends one only if
+// its request was sent after the limit was last named: answers to earlier requests may
+// have begun before.
+func (n *Notices) RecordLimit(now time.Time, vm ports.VM, sentAt time.Time, limit ports.ServerLimit) bool {
+	key := instanceOf(vm)
+	recorded := n.byInstance[key]
+	if !limit.IsSet && (!recorded.limit.limit.IsSet || !sentAt.After(recorded.limit.at)) {
+		return false
+	}
+	changed := limit != recorded.limit.limit
+	recorded.limit.limit, recorded.limit.at = limit, now
+	if changed || now.Sub(recorded.limit.reportedAt) >= limitReportInterval {
+		recorded.limit.reportedAt = now
+		n.domainLimits[key], n.crossDomainLimits[key] = true, true
+	}
+	n.setByKey(now, key, recorded)
+	return changed
+}
+
+// MergeLimits records limits that another daemon reported; fromDomain says that it
+// belongs to this failure domain. It reports whether one has changed.
+func (n *Notices) MergeLimits(now time.Time, updates []LimitUpdate, fromDomain bool) bool {
+	changed := false
+	for _, update := range updates {
+		key := serverInstance{name: update.Server, startedMillis: update.StartedMillis}
+		recorded := n.byInstance[key]
+		if !update.At.After(recorded.limit.at) {
+			continue
+		}
+		changed = changed || update.Limit != recorded.limit.limit
+		recorded.limit.limit, recorded.limit.at = update.Limit, update.At
+		n.setByKey(now, key, recorded)
+		if fromDomain {
+			n.crossDomainLimits[key] = true
+		}
+	}
+	return changed
+}
+
+// TakeDomainLimits returns the limits to report to the other daemons of this failure
+// domain since the last call.
+func (n *Notices) TakeDomainLimits() []LimitUpdate {
+	return n.takeLimits(n.domainLimits)
+}
+
+// TakeCrossDomainLimits does the same for the other failure domains.
+func (n *Notices) TakeCrossDomainLimits() []LimitUpdate {
+	return n.takeLimits(n.crossDomainLimits)
+}
+
+func (n *Notices) takeLimits(queued limitUpdates) []LimitUpdate {
+	var updates []LimitUpdate
+	for key := range queued {
+		recorded := n.byInstance[key].limit
+		updates = append(updates, LimitUpdate{
+			Server: key.name, StartedMillis: key.startedMillis, Limit: recorded.limit, At: recorded.at,
+		})
+	}
+	clear(queued)
+	return updates
+}
+
+// allowance is what this daemon may send to a server that named a limit.
+type allowance struct {
+	bucket
+	limit   float64
+	share   LimitShare
+	version int
+}
+
+// ApplyLimits makes the limits of the pool's servers take effect. A server that names a
+// limit for the first time has had its requests already: its allowance begins empty.
+func (p *Pool) ApplyLimits(now time.Time, notices *Notices, sharing *LimitSharing) {
+	p.daemons = sharing.daemonCount()
+	for _, server := range p.servers {
+		recorded := notices.byInstance[instanceOf(server.vm)].limit.limit
+		if !recorded.IsSet {
+			server.allowance = nil
+			continue
+		}
+		a := server.allowance
+		if a == nil {
+			a = &allowance{bucket: bucket{updatedAt: now}}
+			server.allowance = a
+		}
+		if a.limit == recorded.RequestsPerSecond && a.version == sharing.version {
+			continue
+		}
+		a.refill(now, a.share.Rate, a.share.Burst)
+		a.limit, a.version = recorded.RequestsPerSecond, sharing.version
+		a.share = sharing.ShareOf(server.vm, a.limit)
+	}
+}
+
+// freeAt returns the time from which the server takes calls of this daemon, as far as its
+// pause and its limit tell; a time before now if it does so now.
+func (s *Server) freeAt(now time.Time) time.Time {
+	if s.allowance == nil {
+		return s.pausedUntil
+	}
+	if free := s.allowance.freeAt(now); free.After(s.pausedUntil) {
+		return free
+	}
+	return s.pausedUntil
+}
+
+// freeAt returns the time from which one more request may be sent.
+func (a *allowance) freeAt(now time.Time) time.Time {
+	a.refill(now, a.share.Rate, a.share.Burst)
+	switch missing := 1 - a.credit; {
+	case missing <= 0:
+		return time.Time{}
+	case a.share.Rate <= 0:
+		return now.Add(neverFree)
+	default:
+		return now.Add(secondsToDuration(missing / a.share.Rate))
+	}
+}
+
+// spendAllowance counts a request that is sent to the server.
+func (s *Server) spendAllowance() {
+	if s.allowance != nil {
+		s.allowance.credit--
+	}
+}
+
+// ReturnUnsent gives back what a call that was not sent took of its server's limit.
+func (b *Booking) ReturnUnsent() {
+	if b.server.allowance != nil {
+		b.server.allowance.credit++
+	}
+}
+
+// ShareOfLimit returns this daemon's share of the limit of a server; false if the server
+// names none.
+func (p *Pool) ShareOfLimit(server ports.VMName) (LimitShare, bool) {
+	s := p.findServer(server)
+	if s == nil || s.allowance == nil {
+		return LimitShare{}, false
+	}
+	return s.allowance.share, true
+}
+
+// LimitedServers returns the number of servers that name a limit.
+func (p *Pool) LimitedServers() int {
+	count := 0
+	for _, server := range p.servers {
+		if server.allowance != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// HasLimit reports whether a server of the pool names a limit and isn't leaving.
+func (p *Pool) HasLimit() bool {
+	return p.limitSum() > 0
+}
+
+// limitSum returns the sum of the limits of the servers, in requests per second.
+func (p *Pool) limitSum() float64 {
+	sum := 0.0
+	for _, server := range p.servers {
+		if server.allowance != nil && !server.isLeaving() {
+			sum += max(server.allowance.limit, minLimit)
+		}
+	}
+	return sum
+}
+
+// RetryAfterLimit returns the time after which a caller should retry that was refused
+// because of the servers' limits, given the time until its deadline.
+//
+// Load pattern: far more callers are refused than the servers take per second. If all were
+// told of the next free place, they would return together for it. Each is therefore told a
+// time of its own: the daemons together let as many return per second as the servers take.
+// A caller whose time comes after its deadline won't return, and takes no place.
+func (p *Pool) RetryAfterLimit(now time.Time, remaining time.Duration) time.Duration {
+	rate := max(p.limitSum()/float64(max(p.daemons, 1)), minReturnRate)
+	next := now
+	if p.nextReturn.After(now) {
+		next = p.nextReturn
+	}
+	next = next.Add(secondsToDuration(1 / rate))
+	after := next.Sub(now)
+	if after < remaining {
+		p.nextReturn = next
+	}
+	return after
+}
--- a/internal/core/dispatch/notices.go
+++ b/internal/core/dispatch/notices.go
@@ -26,6 +26,9 @@
 // restart.
 type Notices struct {
 	byInstance map[serverInstance]notice
+	// domainLimits are the limits to report to the other daemons of this failure domain,
+	// crossDomainLimits those for other domains.
+	domainLimits, crossDomainLimits limitUpdates
 }
 
 // notice is what one server said about itself.
@@ -34,11 +37,14 @@
 	isLeaving  bool
 	// pausedUntil is when the pause ends that the server asked for.
 	pausedUntil time.Time
+	limit       limitNotice
 }
 
 // NewNotices returns an empty Notices.
 func NewNotices() *Notices {
-	return &Notices{byInstance: make(map[serverInstance]notice)}
+	return &Notices{
+		byInstance: make(map[serverInstance]notice), domainLimits: make(limitUpdates), crossDomainLimits: make(limitUpdates),
+	}
 }
 
 // RecordLeaving records that a server is leaving. It reports false if that was recorded
@@ -67,7 +73,10 @@
 }
 
 func (n *Notices) set(now time.Time, vm ports.VM, recorded notice) {
-	key := instanceOf(vm)
+	n.setByKey(now, instanceOf(vm), recorded)
+}
+
+func (n *Notices) setByKey(now time.Time, key serverInstance, recorded notice) {
 	if _, known := n.byInstance[key]; !known {
 		n.prune(now)
 	}
@@ -101,8 +110,8 @@
 }
 
 // EarliestFree returns the earliest time from which a server of the pool that may run the
-// work takes calls as it has room: now, or the end of the first pause. It reports false
-// if there is none. A nil work stands for any.
+// work takes calls as it has room: now, or when the first pause ends or the first limit
+// permits one more. It reports false if there is none. A nil work stands for any.
 func (p *Pool) EarliestFree(now time.Time, work *Work) (time.Time, bool) {
 	var earliest time.Time
 	found := false
@@ -110,23 +119,24 @@
 		if server.isLeaving() || work != nil && !server.mayRun(work) {
 			continue
 		}
-		if !server.pausedUntil.After(now) {
+		free := server.freeAt(now)
+		if !free.After(now) {
 			return now, true
 		}
-		if !found || server.pausedUntil.Before(earliest) {
-			earliest, found = server.pausedUntil, true
+		if !found || free.Before(earliest) {
+			earliest, found = free, true
 		}
 	}
 	return earliest, found
 }
 
-// NextPauseEnd returns when the next pause of a server of the pool ends. It reports
-// false if no server pauses.
-func (p *Pool) NextPauseEnd(now time.Time) (time.Time, bool) {
+// NextFree returns when the next server of the pool takes calls again whose pause or
+// limit keeps calls away now. It reports false if there is none.
+func (p *Pool) NextFree(now time.Time) (time.Time, bool) {
 	var next time.Time
 	for _, server := range p.servers {
-		if server.pausedUntil.After(now) && (next.IsZero() || server.pausedUntil.Before(next)) {
-			next = server.pausedUntil
+		if free := server.freeAt(now); free.After(now) && (next.IsZero() || free.Before(next)) {
+			next = free
 		}
 	}
 	return next, !next.IsZero()
--- a/internal/core/dispatch/notices_test.go
+++ b/internal/core/dispatch/notices_test.go
@@ -183,10 +183,10 @@
 	}
 	expect(nil, 2*time.Second)
 	expect([]ports.VMName{vms[1].Name}, 3*time.Second)
-	if next, pauses := pool.NextPauseEnd(start.Add(time.Second)); !pauses || next.Sub(start) != 2*time.Second {
+	if next, pauses := pool.NextFree(start.Add(time.Second)); !pauses || next.Sub(start) != 2*time.Second {
 		t.Errorf("the next pause ends after %s (%t)", next.Sub(start), pauses)
 	}
-	if _, pauses := pool.NextPauseEnd(start.Add(3 * time.Second)); pauses {
+	if _, pauses := pool.NextFree(start.Add(3 * time.Second)); pauses {
 		t.Error("a pause goes on after its end")
 	}
 }
--- a/internal/core/dispatch/pace.go
+++ b/internal/core/dispatch/pace.go
@@ -19,18 +19,17 @@
 // admit the workspace's whole demand until they hear of it, and then none of it for
 // seconds; in all it gets several times the ceiling.
 type pace struct {
-	// credit is the number of tokens that may be granted; negative for a debt.
-	credit    float64
-	updatedAt time.Time
+	// bucket holds the tokens that may be granted.
+	bucket
 }
 
 // newPace returns a pace at the given rate, in tokens per second, that begins with the
 // given credit.
 func newPace(now time.Time, rate, credit float64) pace {
-	return pace{
+	return pace{bucket{
 		credit:    min(max(credit, -rate*maxInitialDebt.Seconds()), rate*maxPaceCredit.Seconds()),
 		updatedAt: now,
-	}
+	}}
 }
 
 func (p *pace) isSet() bool {
@@ -40,8 +39,7 @@
 // isExhausted adds what accrued at the given rate, in tokens per second, and reports
 // whether the next call has to be refused.
 func (p *pace) isExhausted(now time.Time, rate float64) bool {
-	p.credit = min(p.credit+rate*now.Sub(p.updatedAt).Seconds(), rate*maxPaceCredit.Seconds())
-	p.updatedAt = now
+	p.refill(now, rate, rate*maxPaceCredit.Seconds())
 	return p.credit < 0
 }
 
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -48,6 +48,10 @@
 	longPrompts longPromptStats
 	// meanSecondsPerToken is the servers' mean time to read a prompt token.
 	meanSecondsPerToken float64
+	// daemons is the number of daemons that share the servers' limits, and nextReturn the
+	// time given to the last caller that was refused because of them.
+	daemons    int
+	nextReturn time.Time
 	// preferredBuffer is reused by preferredServers.
 	preferredBuffer []*Server
 }
@@ -313,6 +317,7 @@
 	}
 	server.ownLoad = server.ownLoad.Add(booking.load)
 	server.pendingSince = append(server.pendingSince, now)
+	server.spendAllowance()
 	return booking
 }
 
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -41,6 +41,8 @@
 	saidLeaving bool
 	// pausedUntil is when the pause ends that the server asked for.
 	pausedUntil time.Time
+	// allowance is set while the server names a limit.
+	allowance *allowance
 	// removed reports whether the server has left the list.
 	removed bool
 }
@@ -102,7 +104,7 @@
 }
 
 func (s *Server) accepts(now time.Time, work *Work) bool {
-	return s.mayRun(work) && !now.Before(s.pausedUntil) && s.health.accepts(now, s.ownLoad.Calls)
+	return s.mayRun(work) && !s.freeAt(now).After(now) && s.health.accepts(now, s.ownLoad.Calls)
 }
 
 // mayRun reports whether the server may run the call once its health and its pause
--- a/internal/core/outcome/reason.go
+++ b/internal/core/outcome/reason.go
@@ -30,6 +30,7 @@
 	ReasonServerUnreachable      Reason = "backend-server-unreachable"
 	ReasonServerOverloaded       Reason = "backend-server-overloaded"
 	ReasonServerLeaving          Reason = "backend-server-leaving"
+	ReasonServerLimited          Reason = "backend-server-limited" // the servers take no more requests per second
 	ReasonServerFailed           Reason = "backend-server-failed"
 	ReasonFairShareExceeded      Reason = "fair-share-exceeded" // the workspace uses more than its fair share
 	ReasonConnectionBroken       Reason = "connection-broken"
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -278,6 +278,16 @@
 	// which the caller should retry, when a server of the service is free again; zero
 	// if one is free now.
 	RecordPushback(server VM, pause time.Duration) time.Duration
+	// RecordLimit records what an answer to a request that was sent at sentAt says about
+	// the requests that the server takes.
+	RecordLimit(server VM, sentAt time.Time, limit ServerLimit)
+}
+
+// ServerLimit is the number of requests per second that a server takes from all daemons
+// together; no limit if IsSet is false.
+type ServerLimit struct {
+	IsSet             bool
+	RequestsPerSecond float64
 }
 
 // RunResult is the result of one run on one backend server.
--- a/internal/ports/dispatch_messages.go
+++ b/internal/ports/dispatch_messages.go
@@ -32,6 +32,23 @@
 	// QuarantineEnds are the ends of all parts whose calls the sender refuses. They are
 	// present in the messages with Rates.
 	QuarantineEnds []ServerEnd `cbor:"11,keyasint,omitempty"`
+	// ServerLimits are the limits of backend servers that the sender has learned of, or
+	// that were confirmed to it, since its last message to the receiver.
+	ServerLimits []ServerLimitReport `cbor:"13,keyasint,omitempty"`
+}
+
+// ServerLimitReport reports the requests per second that a backend server takes from all
+// daemons together.
+type ServerLimitReport struct {
+	_ struct{} `cbor:",toarray"`
+	// Server and StartedMillis identify one start of the server.
+	Server        VMName
+	StartedMillis int64
+	// IsSet is false if the server names a limit no longer.
+	IsSet             bool
+	RequestsPerSecond float64
+	// AgeMillis is the time in milliseconds since the server said so.
+	AgeMillis int64
 }
 
 // ServerEnd reports that a backend server broke the connection of a run with a prompt
