LIMIT: share engines with limits by what they can still do

The fair rate followed the configured capacity, of which less than half was left, so that everybody seemed to be within the fair share; and requests of a limit went to whoever came first.

The capacity is reduced by what the limits take from engines. Workspaces above their fair share get a request of a limit only where the allowance is whole; for that each sender may send at least 1.5 requests at once, so servers have fewer senders.

TestWorkspacesShareLimitedEnginesEvenly failed before (14 calls of the smaller workspace, 46 of the larger).

--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -199,7 +199,7 @@
 	if !w.work.ForEngine {
 		return 0
 	}
-	return m.shares.Overuse(now, w.call.Workspace, m.document.Limits.TokensPerSecond, m.shareTarget)
+	return m.shares.Overuse(now, w.call.Workspace, m.capacity, m.shareTarget)
 }
 
 func (m *Manager) bookSlot(now time.Time, pool *core.Pool, choice core.Choice, w *waiter) *slot {
--- a/internal/app/dispatch/limits.go
+++ b/internal/app/dispatch/limits.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	core "hawthornstream/internal/core/dispatch"
@@ -57,6 +59,7 @@
 		limited += pool.LimitedServers()
 	}
 	m.limitedServers.Store(int32(limited))
+	m.capacity = core.UsableCapacity(m.document.Limits.TokensPerSecond, slices.Collect(maps.Values(m.pools)))
 }
 
 // mergeLimits records the limits that a peer has learned of. The caller holds the mutex.
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -77,13 +77,15 @@
 	loops          sync.WaitGroup
 
 	// mu guards everything below.
-	mu                sync.Mutex
-	stopping          bool
-	document          *configuration.Document
-	pools             map[ports.ServiceName]*core.Pool
-	versionHistories  map[ports.ServiceName]*streamorigin.VersionHistory
-	notices           *core.Notices
-	limitSharing      *core.LimitSharing
+	mu               sync.Mutex
+	stopping         bool
+	document         *configuration.Document
+	pools            map[ports.ServiceName]*core.Pool
+	versionHistories map[ports.ServiceName]*streamorigin.VersionHistory
+	notices          *core.Notices
+	limitSharing     *core.LimitSharing
+	// capacity is what the engines can do now, in tokens per second; zero for unknown.
+	capacity          float64
 	shares            *core.ShareTracker
 	quarantine        *quarantine.Table
 	waiters           []*waiter
--- a/internal/core/dispatch/admission.go
+++ b/internal/core/dispatch/admission.go
@@ -146,6 +146,13 @@
 	return float64(queueTime) <= max(t.queueAllowance*t.allowanceWeight(), 2-t.Overuse)*t.queueLimit
 }
 
+// admitsAtLimit reports whether a call may take a request of the server's limit. Calls of
+// workspaces above their fair share need a whole allowance: those of the others would have
+// to wait for it.
+func (t *AdmissionTerms) admitsAtLimit(server *Server) bool {
+	return t.AlwaysAdmit || t.Overuse <= 1 || server.hasWholeAllowance()
+}
+
 // callStats holds exponential moving averages over the calls of a pool, from
 // which the queue limit is derived. The limit is the same for calls with short
 // and with long targets; a class of small calls gets a longer one, because it
--- a/internal/core/dispatch/limits.go
+++ b/internal/core/dispatch/limits.go
@@ -160,6 +160,12 @@
 	}
 }
 
+// hasWholeAllowance reports whether no request was sent for so long that the server's
+// allowance is whole, or that it names no limit.
+func (s *Server) hasWholeAllowance() bool {
+	return s.allowance == nil || s.allowance.credit >= s.allowance.share.Burst
+}
+
 // spendAllowance counts a request that is sent to the server.
 func (s *Server) spendAllowance() {
 	if s.allowance != nil {
@@ -231,3 +237,27 @@
 	}
 	return after
 }
+
+// UsableCapacity returns what is left of the configured capacity of all engines, in tokens
+// per second, while some of them name limits.
+//
+// Load pattern: limited engines run a fraction of the calls that they could. By the
+// configured capacity every workspace would be within its fair share, and those with the
+// most calls would get the most of what is left.
+func UsableCapacity(configured float64, pools []*Pool) float64 {
+	engines := 0
+	for _, pool := range pools {
+		if pool.isEngine {
+			engines += len(pool.servers)
+		}
+	}
+	perEngine, lost := configured/float64(max(engines, 1)), 0.0
+	for _, pool := range pools {
+		for _, server := range pool.servers {
+			if pool.isEngine && server.allowance != nil {
+				lost += max(perEngine-max(server.allowance.limit, minLimit)*pool.meanTokens, 0)
+			}
+		}
+	}
+	return configured - lost
+}
--- a/internal/core/dispatch/limits_test.go
+++ b/internal/core/dispatch/limits_test.go
@@ -287,7 +287,7 @@
 	for i := range 500 {
 		after := pool.RetryAfterLimit(f.now.Add(time.Duration(i)*2*time.Millisecond), remaining)
 		if after < remaining {
-			returnsBySecond[int((time.Duration(i)*2*time.Millisecond + after).Seconds())]++
+			returnsBySecond[int((time.Duration(i)*2*time.Millisecond+after).Seconds())]++
 		}
 		if after <= 0 {
 			t.Errorf("a caller is to return after %s", after)
--- a/internal/core/dispatch/limitshare.go
+++ b/internal/core/dispatch/limitshare.go
@@ -21,6 +21,9 @@
 	// send at once, when none has sent for a while. The rest is for daemons that know the
 	// fleet or the limit late.
 	burstFraction = 0.5
+	// minBurst is the least number of requests that each sender may send at once: more
+	// than one, so that it can leave a part to workspaces within their fair share.
+	minBurst = 1.5
 	// ownDomainFraction is the part of a server's senders in its failure domain, whose
 	// calls take the shortest way. The others are spread over the fleet, so that the
 	// server is used when no callers are left in its domain.
@@ -54,9 +57,9 @@
 //
 // Load pattern: servers take between one and some ten requests per second from a fleet of
 // up to hundreds of daemons. Neither can each daemon send one request at any time, nor is
-// the part of each worth anything. A server therefore has only so many senders that all of
-// them together may send one request at once. Each daemon ranks all of them in the same
-// way; the other daemons send to other servers.
+// the part of each worth anything. A server therefore has only so many senders that each
+// of them may send minBurst requests at once. Each daemon ranks all of them in the same way;
+// the other daemons send to other servers.
 type LimitSharing struct {
 	self      ports.VM
 	startedAt time.Time
@@ -142,7 +145,7 @@
 func (s *LimitSharing) ShareOf(server ports.VM, limit float64) LimitShare {
 	limit = max(limit, minLimit)
 	burst := burstFraction * ((limitTolerance-1)*limit*limitWindow.Seconds() + limitExcess)
-	senders := int(min(math.Floor(burst), float64(s.daemonCount())))
+	senders := int(min(max(math.Floor(burst/minBurst), 1), float64(s.daemonCount())))
 	share := LimitShare{Rate: limit / float64(senders), Burst: burst / float64(senders)}
 	if senders < len(s.daemons) && !s.isSender(server, senders) {
 		share.Rate = 0
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -231,7 +231,7 @@
 		if cheapest.Server == nil || choice.totalCost < cheapest.totalCost {
 			cheapest = choice
 		}
-		if (best.Server == nil || choice.totalCost < best.totalCost) && terms.admits(choice, work) {
+		if (best.Server == nil || choice.totalCost < best.totalCost) && terms.admits(choice, work) && terms.admitsAtLimit(server) {
 			best = choice
 		}
 	}
