--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -24,7 +24,7 @@
 	work         core.Work
 	waitingSince time.Time
 	// parts are the hashes of the parts of the prompt prefix.
-	parts []quarantine.PartHash
+	parts []quarantine.CauseHash
 	// replaces says that the call may take the place of a run that has not ended.
 	replaces bool
 	done     chan struct{}
--- a/internal/app/dispatch/quarantine.go
+++ b/internal/app/dispatch/quarantine.go
@@ -16,12 +16,12 @@
 )
 
 // partHashes returns the hashes of the parts of a call's prompt prefix.
-func partHashes(call *ports.Call) []quarantine.PartHash {
+func partHashes(call *ports.Call) []quarantine.CauseHash {
 	ids := call.Prompt.SharedPartIDs()
 	if len(ids) == 0 {
 		return nil
 	}
-	hashes := make([]quarantine.PartHash, len(ids))
+	hashes := make([]quarantine.CauseHash, len(ids))
 	for i, id := range ids {
 		hashes[i] = quarantine.HashPart(call.Service, id)
 	}
@@ -89,15 +89,15 @@
 		began = now
 	}
 	for _, part := range s.parts {
-		if s.manager.quarantine.RecordOwnSound(now, quarantine.SoundAnswer{Part: part, At: began}) {
-			s.manager.logReleased([]quarantine.PartHash{part})
+		if s.manager.quarantine.RecordOwnSound(now, quarantine.SoundAnswer{Cause: part, At: began}) {
+			s.manager.logReleased([]quarantine.CauseHash{part})
 		}
 	}
 }
 
 func (s *slot) recordServerEndLocked(now time.Time) {
 	for _, part := range s.parts {
-		if s.manager.quarantine.RecordOwnEnd(now, quarantine.ServerEnd{Part: part, Server: s.instance, At: now}) {
+		if s.manager.quarantine.RecordOwnEnd(now, quarantine.ServerEnd{Cause: part, Server: s.instance, At: now}) {
 			s.manager.logQuarantined(part, quarantinedByEnds)
 		}
 	}
@@ -108,7 +108,7 @@
 	message.ServerEnds = toServerEnds(now, updates.Ends)
 	for _, sound := range updates.Sounds {
 		message.SoundAnswers = append(message.SoundAnswers, ports.SoundAnswer{
-			Part: uint64(sound.Part), AgeMillis: ageMillis(now, sound.At),
+			Part: uint64(sound.Cause), AgeMillis: ageMillis(now, sound.At),
 		})
 	}
 	for _, life := range updates.Lives {
@@ -132,7 +132,7 @@
 	var reported []ports.ServerEnd
 	for _, end := range ends {
 		reported = append(reported, ports.ServerEnd{
-			Part: uint64(end.Part), Server: uint64(end.Server), AgeMillis: ageMillis(now, end.At),
+			Part: uint64(end.Cause), Server: uint64(end.Server), AgeMillis: ageMillis(now, end.At),
 		})
 	}
 	return reported
@@ -142,7 +142,7 @@
 	var ends []quarantine.ServerEnd
 	for _, end := range reported {
 		ends = append(ends, quarantine.ServerEnd{
-			Part: quarantine.PartHash(end.Part), Server: quarantine.ServerInstance(end.Server), At: timeOfAge(now, end.AgeMillis),
+			Cause: quarantine.CauseHash(end.Part), Server: quarantine.ServerInstance(end.Server), At: timeOfAge(now, end.AgeMillis),
 		})
 	}
 	return ends
@@ -153,7 +153,7 @@
 	updates := quarantine.Updates{Ends: fromServerEnds(now, message.ServerEnds)}
 	for _, sound := range message.SoundAnswers {
 		updates.Sounds = append(updates.Sounds, quarantine.SoundAnswer{
-			Part: quarantine.PartHash(sound.Part), At: timeOfAge(now, sound.AgeMillis),
+			Cause: quarantine.CauseHash(sound.Part), At: timeOfAge(now, sound.AgeMillis),
 		})
 	}
 	for _, life := range message.SignsOfLife {
@@ -171,12 +171,12 @@
 	}
 }
 
-func (m *Manager) logQuarantined(part quarantine.PartHash, source string) {
+func (m *Manager) logQuarantined(part quarantine.CauseHash, source string) {
 	m.quarantineCounter.Inc(source)
 	m.logger.Warn().Str("event", "prompt-part-quarantined").Uint64("part", uint64(part)).Str("source", source).Msg("")
 }
 
-func (m *Manager) logReleased(parts []quarantine.PartHash) {
+func (m *Manager) logReleased(parts []quarantine.CauseHash) {
 	for _, part := range parts {
 		m.logger.Info().Str("event", "prompt-part-released").Uint64("part", uint64(part)).Msg("")
 	}
--- a/internal/app/dispatch/slot.go
+++ b/internal/app/dispatch/slot.go
@@ -18,7 +18,7 @@
 	grantDetails  ports.GrantDetails
 	firstByteSeen atomic.Bool
 	// parts are the hashes of the parts of the prompt prefix.
-	parts []quarantine.PartHash
+	parts []quarantine.CauseHash
 	// tokens are counted as granted to the workspace.
 	tokens float64
 	// instance identifies the server since its start, and grantedAt is when the call got
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -11,23 +11,23 @@
 
 const (
 	// SoundAfter is the time for which an answer must have lasted, from its first event,
-	// to show that its parts are sound. A run that breaks earlier counts against them.
+	// to show that its causes are sound. A run that breaks earlier counts against them.
 	SoundAfter = 500 * time.Millisecond
-	// maxParts limits the parts that are recorded, maxLives the servers of which a sign
+	// maxCauses limits the causes that are recorded, maxLives the servers of which a sign
 	// of life is kept.
-	maxParts = 8192
-	maxLives = 1024
+	maxCauses = 8192
+	maxLives  = 1024
 	// reportInterval is the least time between two reports of a sound answer for one
-	// part, or of a sign of life of one server.
+	// cause, or of a sign of life of one server.
 	reportInterval = time.Second
 )
 
-// PartHash identifies a prompt part of a service.
-type PartHash uint64
+// CauseHash identifies a prompt part of a service.
+type CauseHash uint64
 
 // HashPart returns the hash of a prompt part of a service.
-func HashPart(service ports.ServiceName, id string) PartHash {
-	return PartHash(xxhash.Sum64String(string(service) + "\x00" + id))
+func HashPart(service ports.ServiceName, id string) CauseHash {
+	return CauseHash(xxhash.Sum64String(string(service) + "\x00" + id))
 }
 
 // ServerInstance identifies one start of a server.
@@ -38,19 +38,19 @@
 	return ServerInstance(xxhash.Sum64String(string(server.Name) + "\x00" + strconv.FormatInt(server.StartedMillis, 36)))
 }
 
-// ServerEnd is the end of a server's connection during a run with the part, before the
+// ServerEnd is the end of a server's connection during a run with the cause, before the
 // run had a sound answer.
 type ServerEnd struct {
-	Part   PartHash
+	Cause  CauseHash
 	Server ServerInstance
 	At     time.Time
 }
 
-// SoundAnswer is an answer to a prompt with the part that began at the given time and
+// SoundAnswer is an answer to a prompt with the cause that began at the given time and
 // lasted.
 type SoundAnswer struct {
-	Part PartHash
-	At   time.Time
+	Cause CauseHash
+	At    time.Time
 }
 
 // SignOfLife is the answer of a server to a request that was sent at the given time.
@@ -72,12 +72,12 @@
 	u.Lives = append(u.Lives, other.Lives...)
 }
 
-// Table records the parts that are suspected, quarantined or known to be sound. It is not
+// Table records the causes that are suspected, quarantined or known to be sound. It is not
 // safe for concurrent use.
 type Table struct {
-	parts map[PartHash]*part
-	// suspects has the parts against which an end of a server counts, or did.
-	suspects map[ServerInstance][]PartHash
+	causes map[CauseHash]*cause
+	// suspects has the causes against which an end of a server counts, or did.
+	suspects map[ServerInstance][]CauseHash
 	// lives are the latest signs of life of the servers in suspects.
 	lives map[ServerInstance]time.Time
 	// domain are the updates for the other daemons of this failure domain, crossDomain
@@ -88,34 +88,34 @@
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		parts: make(map[PartHash]*part), suspects: make(map[ServerInstance][]PartHash),
+		causes: make(map[CauseHash]*cause), suspects: make(map[ServerInstance][]CauseHash),
 		lives: make(map[ServerInstance]time.Time),
 	}
 }
 
 // RecordOwnEnd records an end that this daemon saw, for other daemons too. It reports
-// whether the part was quarantined by it.
+// whether the cause was quarantined by it.
 func (t *Table) RecordOwnEnd(now time.Time, end ServerEnd) bool {
 	t.report(Updates{Ends: []ServerEnd{end}})
 	return t.recordEnd(now, end)
 }
 
 // RecordOwnSound records a sound answer that this daemon relayed, for other daemons too if
-// the part is suspected. It reports whether the part was released by it.
+// the cause is suspected. It reports whether the cause was released by it.
 func (t *Table) RecordOwnSound(now time.Time, sound SoundAnswer) bool {
-	p := t.partOf(now, sound.Part)
+	p := t.causeOf(now, sound.Cause)
 	wasSuspected := p.isSuspected(now)
 	released := p.recordSound(now, sound.At)
 	if wasSuspected {
-		t.reportSound(now, sound.Part, p)
+		t.reportSound(now, sound.Cause, p)
 	}
 	return released
 }
 
 // RecordOwnLife records the first byte of an answer of a server to a request that was sent
 // at the given time: whatever ended its connections before did not end the server. It
-// returns the parts that were released by it.
-func (t *Table) RecordOwnLife(now time.Time, life SignOfLife) []PartHash {
+// returns the causes that were released by it.
+func (t *Table) RecordOwnLife(now time.Time, life SignOfLife) []CauseHash {
 	if _, suspected := t.suspects[life.Server]; !suspected {
 		return nil
 	}
@@ -126,19 +126,19 @@
 }
 
 // Merge records the updates of another daemon; fromDomain says that it belongs to this
-// failure domain. It returns the parts that were quarantined and released by them.
-func (t *Table) Merge(now time.Time, updates Updates, fromDomain bool) (quarantined, released []PartHash) {
+// failure domain. It returns the causes that were quarantined and released by them.
+func (t *Table) Merge(now time.Time, updates Updates, fromDomain bool) (quarantined, released []CauseHash) {
 	for _, end := range updates.Ends {
 		if t.recordEnd(now, end) {
-			quarantined = append(quarantined, end.Part)
+			quarantined = append(quarantined, end.Cause)
 		}
-		if p := t.parts[end.Part]; p != nil && !p.soundAt.Before(end.At) {
-			t.reportSound(now, end.Part, p)
+		if p := t.causes[end.Cause]; p != nil && !p.soundAt.Before(end.At) {
+			t.reportSound(now, end.Cause, p)
 		}
 	}
 	for _, sound := range updates.Sounds {
-		if t.partOf(now, sound.Part).recordSound(now, sound.At) {
-			released = append(released, sound.Part)
+		if t.causeOf(now, sound.Cause).recordSound(now, sound.At) {
+			released = append(released, sound.Cause)
 		}
 	}
 	for _, life := range updates.Lives {
@@ -155,13 +155,13 @@
 	t.crossDomain.add(updates)
 }
 
-// reportSound queues the latest sound answer of a part for other daemons.
-func (t *Table) reportSound(now time.Time, hash PartHash, p *part) {
+// reportSound queues the latest sound answer of a cause for other daemons.
+func (t *Table) reportSound(now time.Time, hash CauseHash, p *cause) {
 	if now.Sub(p.reportedAt) < reportInterval {
 		return
 	}
 	p.reportedAt = now
-	t.report(Updates{Sounds: []SoundAnswer{{Part: hash, At: p.soundAt}}})
+	t.report(Updates{Sounds: []SoundAnswer{{Cause: hash, At: p.soundAt}}})
 }
 
 // TakeDomainUpdates returns the updates for the other daemons of this failure domain since
@@ -179,10 +179,10 @@
 	return updates
 }
 
-// QuarantineEnds returns the ends of all quarantined parts, for Adopt at another daemon.
+// QuarantineEnds returns the ends of all quarantined causes, for Adopt at another daemon.
 func (t *Table) QuarantineEnds(now time.Time) []ServerEnd {
 	var ends []ServerEnd
-	for _, p := range t.parts {
+	for _, p := range t.causes {
 		if p.isQuarantined(now) {
 			ends = append(ends, p.ends...)
 		}
@@ -190,19 +190,19 @@
 	return ends
 }
 
-// Adopt quarantines the parts that another daemon has quarantined, given their ends,
-// unless an answer with the part was sound since or the servers live. It returns the parts
+// Adopt quarantines the causes that another daemon has quarantined, given their ends,
+// unless an answer with the cause was sound since or the servers live. It returns the causes
 // that were not quarantined before.
-func (t *Table) Adopt(now time.Time, ends []ServerEnd) (quarantined []PartHash) {
-	byPart := make(map[PartHash][]ServerEnd)
+func (t *Table) Adopt(now time.Time, ends []ServerEnd) (quarantined []CauseHash) {
+	byPart := make(map[CauseHash][]ServerEnd)
 	for _, end := range ends {
 		if t.isRefuted(end) {
 			continue
 		}
-		byPart[end.Part] = append(byPart[end.Part], end)
+		byPart[end.Cause] = append(byPart[end.Cause], end)
 	}
 	for hash, partEnds := range byPart {
-		p := t.partOf(now, hash)
+		p := t.causeOf(now, hash)
 		for _, end := range partEnds {
 			t.suspect(end)
 			if p.soundAt.After(end.At) {
@@ -216,10 +216,10 @@
 	return quarantined
 }
 
-// QuarantinedUntil returns when the quarantine of a part ends; false if it isn't
+// QuarantinedUntil returns when the quarantine of a cause ends; false if it isn't
 // quarantined.
-func (t *Table) QuarantinedUntil(now time.Time, hash PartHash) (time.Time, bool) {
-	p, ok := t.parts[hash]
+func (t *Table) QuarantinedUntil(now time.Time, hash CauseHash) (time.Time, bool) {
+	p, ok := t.causes[hash]
 	if !ok || !p.isQuarantined(now) {
 		return time.Time{}, false
 	}
@@ -231,7 +231,7 @@
 		return false
 	}
 	t.suspect(end)
-	return t.partOf(now, end.Part).recordEnd(now, end)
+	return t.causeOf(now, end.Cause).recordEnd(now, end)
 }
 
 func (t *Table) isRefuted(end ServerEnd) bool {
@@ -239,22 +239,22 @@
 	return ok && SignOfLife{Server: end.Server, At: at}.refutes(end)
 }
 
-// suspect notes that an end of the server counts against the part.
+// suspect notes that an end of the server counts against the cause.
 func (t *Table) suspect(end ServerEnd) {
 	if len(t.suspects) >= maxLives {
 		clear(t.suspects)
 		clear(t.lives)
 	}
 	for _, hash := range t.suspects[end.Server] {
-		if hash == end.Part {
+		if hash == end.Cause {
 			return
 		}
 	}
-	t.suspects[end.Server] = append(t.suspects[end.Server], end.Part)
+	t.suspects[end.Server] = append(t.suspects[end.Server], end.Cause)
 }
 
 // recordLife drops the earlier ends of a server.
-func (t *Table) recordLife(now time.Time, life SignOfLife) (released []PartHash) {
+func (t *Table) recordLife(now time.Time, life SignOfLife) (released []CauseHash) {
 	if !life.At.After(t.lives[life.Server]) {
 		return nil
 	}
@@ -263,40 +263,40 @@
 		t.lives[life.Server] = life.At
 	}
 	for _, hash := range suspects {
-		if p, ok := t.parts[hash]; ok && p.recordLife(now, life) {
+		if p, ok := t.causes[hash]; ok && p.recordLife(now, life) {
 			released = append(released, hash)
 		}
 	}
 	return released
 }
 
-func (t *Table) partOf(now time.Time, hash PartHash) *part {
-	p, ok := t.parts[hash]
+func (t *Table) causeOf(now time.Time, hash CauseHash) *cause {
+	p, ok := t.causes[hash]
 	if !ok {
-		if len(t.parts) >= maxParts {
+		if len(t.causes) >= maxCauses {
 			t.prune(now)
 		}
-		p = &part{}
-		t.parts[hash] = p
+		p = &cause{}
+		t.causes[hash] = p
 	}
 	return p
 }
 
-// prune makes room for an eighth of the parts, so that it is seldom needed. Suspected
-// parts stay unless all are.
+// prune makes room for an eighth of the causes, so that it is seldom needed. Suspected
+// causes stay unless all are.
 func (t *Table) prune(now time.Time) {
-	for hash, p := range t.parts {
+	for hash, p := range t.causes {
 		if !p.isSuspected(now) && now.Sub(p.soundAt) > soundMemory {
-			delete(t.parts, hash)
+			delete(t.causes, hash)
 		}
 	}
 	for _, keepSuspected := range []bool{true, false} {
-		for hash, p := range t.parts {
-			if len(t.parts) < maxParts-maxParts/8 {
+		for hash, p := range t.causes {
+			if len(t.causes) < maxCauses-maxCauses/8 {
 				return
 			}
 			if !keepSuspected || !p.isSuspected(now) {
-				delete(t.parts, hash)
+				delete(t.causes, hash)
 			}
 		}
 	}
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -11,19 +11,19 @@
 var start = time.Unix(1000, 0)
 
 const (
-	endingPart = PartHash(7)
-	sharedPart = PartHash(8)
+	endingPart = CauseHash(6)
+	sharedPart = CauseHash(8)
 )
 
 func at(seconds float64) time.Time {
 	return start.Add(time.Duration(seconds * float64(time.Second)))
 }
 
-func endOf(part PartHash, server int, seconds float64) ServerEnd {
-	return ServerEnd{Part: part, Server: ServerInstance(server), At: at(seconds)}
+func endOf(part CauseHash, server int, seconds float64) ServerEnd {
+	return ServerEnd{Cause: part, Server: ServerInstance(server), At: at(seconds)}
 }
 
-func isQuarantined(t *Table, part PartHash, seconds float64) bool {
+func isQuarantined(t *Table, part CauseHash, seconds float64) bool {
 	_, ok := t.QuarantinedUntil(at(seconds), part)
 	return ok
 }
@@ -38,7 +38,7 @@
 		}
 		table.RecordOwnEnd(at(float64(i)), endOf(endingPart, i, float64(i)))
 		table.RecordOwnEnd(at(float64(i)), endOf(sharedPart, i, float64(i)))
-		table.RecordOwnSound(at(float64(i)+0.7), SoundAnswer{Part: sharedPart, At: at(float64(i) + 0.1)})
+		table.RecordOwnSound(at(float64(i)+0.7), SoundAnswer{Cause: sharedPart, At: at(float64(i) + 0.1)})
 	}
 	if !isQuarantined(table, endingPart, 3) || isQuarantined(table, sharedPart, 3) {
 		t.Errorf("quarantined: ending part %v, shared part %v", isQuarantined(table, endingPart, 3), isQuarantined(table, sharedPart, 3))
@@ -78,8 +78,8 @@
 // other by themselves.
 func TestPartKnownToBeSoundNeedsMoreEnds(t *testing.T) {
 	table := NewTable()
-	table.RecordOwnSound(start, SoundAnswer{Part: endingPart, At: start})
-	for i := 1; i <= endsOfKnownPart; i++ {
+	table.RecordOwnSound(start, SoundAnswer{Cause: endingPart, At: start})
+	for i := 1; i <= endsOfKnownCause; i++ {
 		if isQuarantined(table, endingPart, float64(i)) {
 			t.Errorf("quarantined after %d ends", i-1)
 		}
@@ -97,10 +97,10 @@
 	for i := range endsToQuarantine {
 		table.RecordOwnEnd(at(float64(i)), endOf(sharedPart, i, float64(i)))
 	}
-	if _, released := table.Merge(at(3), Updates{Sounds: []SoundAnswer{{Part: sharedPart, At: at(-1)}}}, true); len(released) > 0 {
+	if _, released := table.Merge(at(3), Updates{Sounds: []SoundAnswer{{Cause: sharedPart, At: at(-1)}}}, true); len(released) > 0 {
 		t.Error("released by an answer before the first end")
 	}
-	if _, released := table.Merge(at(3), Updates{Sounds: []SoundAnswer{{Part: sharedPart, At: at(0.5)}}}, true); len(released) != 1 {
+	if _, released := table.Merge(at(3), Updates{Sounds: []SoundAnswer{{Cause: sharedPart, At: at(0.5)}}}, true); len(released) != 1 {
 		t.Error("not released")
 	}
 	if isQuarantined(table, sharedPart, 3) {
@@ -119,12 +119,12 @@
 		table.RecordOwnEnd(at(float64(i)), endOf(endingPart, i, float64(i)))
 		tables = append(tables, table)
 	}
-	var quarantined []PartHash
+	var quarantined []CauseHash
 	for _, peer := range tables[1:] {
 		newly, _ := tables[0].Merge(at(3), peer.TakeDomainUpdates(), true)
 		quarantined = append(quarantined, newly...)
 	}
-	if fmt.Sprint(quarantined) != fmt.Sprint([]PartHash{endingPart}) {
+	if fmt.Sprint(quarantined) != fmt.Sprint([]CauseHash{endingPart}) {
 		t.Errorf("quarantined %v", quarantined)
 	}
 	if ends := tables[0].TakeCrossDomainUpdates().Ends; len(ends) != endsToQuarantine {
@@ -140,7 +140,7 @@
 // A daemon that knows a sound answer tells those that count ends against the part.
 func TestSoundAnswerIsToldToDaemonsThatSuspectThePart(t *testing.T) {
 	suspecting, knowing := NewTable(), NewTable()
-	knowing.RecordOwnSound(at(1), SoundAnswer{Part: sharedPart, At: at(0.5)})
+	knowing.RecordOwnSound(at(1), SoundAnswer{Cause: sharedPart, At: at(0.5)})
 	if sounds := knowing.TakeDomainUpdates().Sounds; len(sounds) > 0 {
 		t.Errorf("told without a reason: %v", sounds)
 	}
@@ -154,11 +154,11 @@
 func TestTableIsBounded(t *testing.T) {
 	table := NewTable()
 	table.RecordOwnEnd(start, endOf(endingPart, 1, 0))
-	for i := range 2 * maxParts {
-		table.RecordOwnSound(start, SoundAnswer{Part: PartHash(1000 + i), At: start})
+	for i := range 2 * maxCauses {
+		table.RecordOwnSound(start, SoundAnswer{Cause: CauseHash(1000 + i), At: start})
 	}
-	if len(table.parts) > maxParts || table.parts[endingPart] == nil {
-		t.Errorf("%d parts, the suspected one kept: %v", len(table.parts), table.parts[endingPart] != nil)
+	if len(table.causes) > maxCauses || table.causes[endingPart] == nil {
+		t.Errorf("%d parts, the suspected one kept: %v", len(table.causes), table.causes[endingPart] != nil)
 	}
 }
 
