--- a/internal/adapters/callerhttp/status.go
+++ b/internal/adapters/callerhttp/status.go
@@ -41,6 +41,8 @@
 	outcome.ReasonIdempotencyUnavailable: http.StatusServiceUnavailable,
 	outcome.ReasonIdempotencyInProgress:  http.StatusConflict,
 	outcome.ReasonOutcomeUnknown:         http.StatusConflict,
+	outcome.ReasonPartQuarantined:        http.StatusServiceUnavailable,
+	outcome.ReasonCallQuarantined:        http.StatusServiceUnavailable,
 	outcome.ReasonInternal:               http.StatusInternalServerError,
 }
 
--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -23,8 +23,8 @@
 	call         *ports.Call
 	work         core.Work
 	waitingSince time.Time
-	// parts are the hashes of the parts of the prompt prefix.
-	parts []quarantine.CauseHash
+	// causes are what of the call may end servers, the whole call first.
+	causes []quarantine.CauseHash
 	// replaces says that the call may take the place of a run that has not ended.
 	replaces bool
 	done     chan struct{}
@@ -34,7 +34,7 @@
 
 func newWaiter(now time.Time, call *ports.Call) *waiter {
 	return &waiter{
-		call: call, work: core.WorkOf(call), parts: partHashes(call), waitingSince: now, done: make(chan struct{}),
+		call: call, work: core.WorkOf(call), causes: causesOf(call), waitingSince: now, done: make(chan struct{}),
 	}
 }
 
@@ -108,10 +108,10 @@
 // TryAcquire implements ports.ImmediateSlotBroker.
 func (m *Manager) TryAcquire(call *ports.Call) (ports.Slot, bool) {
 	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	w := newWaiter(now, call)
 	w.replaces = true
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.mergePeerLoads(now)
 	if !m.tryResolve(now, w, (*core.Pool).ChooseReplacement) || w.slot == nil {
 		return nil, false
@@ -215,7 +215,7 @@
 	s := &slot{
 		manager: m,
 		call:    w.call,
-		parts:   w.parts, instance: quarantine.InstanceOf(choice.Server.VM()), grantedAt: now,
+		causes:  w.causes, instance: quarantine.InstanceOf(choice.Server.VM()), grantedAt: now,
 		server: choice.Server.VM(), tokens: tokens,
 		booking: book(now, choice, &w.work),
 		grantDetails: ports.GrantDetails{
--- a/internal/app/dispatch/exchange.go
+++ b/internal/app/dispatch/exchange.go
@@ -96,7 +96,7 @@
 		message.Rates = toWorkspaceRates(m.shares.OwnRates(now))
 		message.QuarantineEnds = toServerEnds(now, m.quarantine.QuarantineEnds(now))
 	}
-	addPartUpdates(now, message, m.quarantine.TakeDomainUpdates())
+	addCauseUpdates(now, message, m.quarantine.TakeDomainUpdates())
 	message.ServerLimits = toLimitReports(now, m.notices.TakeDomainLimits())
 	return message
 }
@@ -110,7 +110,7 @@
 		Rates:          toWorkspaceRates(m.shares.DomainRates(now)),
 		QuarantineEnds: toServerEnds(now, m.quarantine.QuarantineEnds(now)),
 	}
-	addPartUpdates(now, message, m.quarantine.TakeCrossDomainUpdates())
+	addCauseUpdates(now, message, m.quarantine.TakeCrossDomainUpdates())
 	message.ServerLimits = toLimitReports(now, m.notices.TakeCrossDomainLimits())
 	message.SetServerList(digest)
 	for service, pool := range m.pools {
@@ -209,7 +209,7 @@
 	}
 	reports.Record(now, message.Sequence, loads)
 	m.recordPeerRates(now, source, message.Rates)
-	m.mergeParts(now, message, source.Domain == "")
+	m.mergeCauses(now, message, source.Domain == "")
 	m.mergeLimits(now, message, source.Domain == "")
 	for _, prefix := range message.CachedPrefixes {
 		if pool, ok := m.pools[prefix.Service]; ok {
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -58,18 +58,19 @@
 	limiter          *logging.Limiter
 	exclusionCounter *metrics.CounterVec
 	// resumptionCounter counts the streams that callers resume.
-	resumptionCounter *metrics.CounterVec
-	leavingCounter    *metrics.CounterVec
-	pushbackCounter   *metrics.CounterVec
-	limitCounter      *metrics.CounterVec
-	quarantineCounter *metrics.CounterVec
-	directory         ports.Directory
-	transport         ports.PeerTransport
-	configuration     ports.ConfigurationSource
-	lists             *listExchange
-	origins           *originExchange
-	changeSignal      chan struct{}
-	pauseSignal       chan struct{}
+	resumptionCounter     *metrics.CounterVec
+	leavingCounter        *metrics.CounterVec
+	pushbackCounter       *metrics.CounterVec
+	limitCounter          *metrics.CounterVec
+	quarantineCounter     *metrics.CounterVec
+	callQuarantineCounter *metrics.CounterVec
+	directory             ports.Directory
+	transport             ports.PeerTransport
+	configuration         ports.ConfigurationSource
+	lists                 *listExchange
+	origins               *originExchange
+	changeSignal          chan struct{}
+	pauseSignal           chan struct{}
 	// limitedServers is the number of servers that name a limit, for RecordLimit.
 	limitedServers atomic.Int32
 	stop           chan struct{}
@@ -101,30 +102,31 @@
 func NewManager(p Params) *Manager {
 	scope := p.Scope.SubScope("dispatch")
 	m := &Manager{
-		logger:            p.Logger,
-		limiter:           logging.NewLimiter(p.Logger),
-		exclusionCounter:  metrics.NewCounterVec(scope, "servers_excluded", "service", "fault"),
-		resumptionCounter: metrics.NewCounterVec(scope, "stream_resumptions", "service", "source", "reason"),
-		leavingCounter:    metrics.NewCounterVec(scope, "servers_leaving", "service"),
-		pushbackCounter:   metrics.NewCounterVec(scope, "server_pushbacks", "service"),
-		limitCounter:      metrics.NewCounterVec(scope, "server_limit_changes", "service", "change"),
-		quarantineCounter: metrics.NewCounterVec(scope, "prompt_parts_quarantined", "source"),
-		directory:         p.Directory,
-		transport:         p.Transport,
-		configuration:     p.Configuration,
-		lists:             newListExchange(p.List),
-		origins:           newOriginExchange(p.Directory, p.Transport),
-		changeSignal:      make(chan struct{}, 1),
-		pauseSignal:       make(chan struct{}, 1),
-		stop:              make(chan struct{}),
-		document:          &configuration.Document{},
-		pools:             make(map[ports.ServiceName]*core.Pool),
-		versionHistories:  make(map[ports.ServiceName]*streamorigin.VersionHistory),
-		notices:           core.NewNotices(),
-		limitSharing:      core.NewLimitSharing(time.Now(), p.Directory.Self()),
-		shares:            core.NewShareTracker(),
-		quarantine:        quarantine.NewTable(),
-		peerReports:       make(map[core.Source]*core.PeerReports),
+		logger:                p.Logger,
+		limiter:               logging.NewLimiter(p.Logger),
+		exclusionCounter:      metrics.NewCounterVec(scope, "servers_excluded", "service", "fault"),
+		resumptionCounter:     metrics.NewCounterVec(scope, "stream_resumptions", "service", "source", "reason"),
+		leavingCounter:        metrics.NewCounterVec(scope, "servers_leaving", "service"),
+		pushbackCounter:       metrics.NewCounterVec(scope, "server_pushbacks", "service"),
+		limitCounter:          metrics.NewCounterVec(scope, "server_limit_changes", "service", "change"),
+		quarantineCounter:     metrics.NewCounterVec(scope, "prompt_parts_quarantined", "source"),
+		callQuarantineCounter: metrics.NewCounterVec(scope, "calls_quarantined", "source"),
+		directory:             p.Directory,
+		transport:             p.Transport,
+		configuration:         p.Configuration,
+		lists:                 newListExchange(p.List),
+		origins:               newOriginExchange(p.Directory, p.Transport),
+		changeSignal:          make(chan struct{}, 1),
+		pauseSignal:           make(chan struct{}, 1),
+		stop:                  make(chan struct{}),
+		document:              &configuration.Document{},
+		pools:                 make(map[ports.ServiceName]*core.Pool),
+		versionHistories:      make(map[ports.ServiceName]*streamorigin.VersionHistory),
+		notices:               core.NewNotices(),
+		limitSharing:          core.NewLimitSharing(time.Now(), p.Directory.Self()),
+		shares:                core.NewShareTracker(),
+		quarantine:            quarantine.NewTable(),
+		peerReports:           make(map[core.Source]*core.PeerReports),
 	}
 	p.Transport.Handle(ports.KindLoad,
 		func() ports.Message { return &ports.LoadMessage{} },
--- a/internal/app/dispatch/quarantine.go
+++ b/internal/app/dispatch/quarantine.go
@@ -15,20 +15,20 @@
 	quarantinedByPeer = "peer"
 )
 
-// partHashes returns the hashes of the parts of a call's prompt prefix.
-func partHashes(call *ports.Call) []quarantine.CauseHash {
+// causesOf returns what of a call may end servers: the whole call, which is the first, and
+// the parts of its prompt prefix.
+func causesOf(call *ports.Call) []quarantine.CauseHash {
 	ids := call.Prompt.SharedPartIDs()
-	if len(ids) == 0 {
-		return nil
-	}
-	hashes := make([]quarantine.CauseHash, len(ids))
-	for i, id := range ids {
-		hashes[i] = quarantine.HashPart(call.Service, id)
+	hashes := make([]quarantine.CauseHash, 0, len(ids)+1)
+	hashes = append(hashes, quarantine.HashCall(call))
+	for _, id := range ids {
+		hashes = append(hashes, quarantine.HashPart(call.Service, id))
 	}
 	return hashes
 }
 
-// quarantineRefusal returns the refusal of a call with a quarantined part, or nil.
+// quarantineRefusal returns the refusal of a call that is quarantined or has a quarantined
+// part, or nil.
 func (m *Manager) quarantineRefusal(now time.Time, w *waiter) *outcome.Refusal {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -37,21 +37,27 @@
 
 // quarantineRefusalLocked does the same for a caller that holds the mutex.
 func (m *Manager) quarantineRefusalLocked(now time.Time, w *waiter) *outcome.Refusal {
-	for _, part := range w.parts {
-		if until, ok := m.quarantine.QuarantinedUntil(now, part); ok {
-			return &outcome.Refusal{
-				Reason: outcome.ReasonPartQuarantined, End: outcome.NotRun,
-				Detail: "a part of the prompt ended the backend servers that ran it", RetryAfter: until.Sub(now),
-			}
+	for _, cause := range w.causes {
+		until, ok := m.quarantine.QuarantinedUntil(now, cause)
+		if !ok {
+			continue
+		}
+		refusal := &outcome.Refusal{
+			Reason: outcome.ReasonPartQuarantined, End: outcome.NotRun,
+			Detail: "a part of the prompt ended the backend servers that ran it", RetryAfter: until.Sub(now),
+		}
+		if cause.IsCall() {
+			refusal.Reason, refusal.Detail = outcome.ReasonCallQuarantined, "the call ended the backend servers that ran it"
 		}
+		return refusal
 	}
 	return nil
 }
 
-// recordLastingAnswer records the parts of an answer as sound once it has lasted long
-// enough.
+// recordLastingAnswer records the call and its parts as sound once the answer has lasted
+// long enough.
 func (s *slot) recordLastingAnswer() {
-	if s.soundRecorded || len(s.parts) == 0 {
+	if s.soundRecorded {
 		return
 	}
 	now := time.Now()
@@ -60,16 +66,19 @@
 	}
 	s.manager.mu.Lock()
 	defer s.manager.mu.Unlock()
-	s.recordSoundLocked(now)
+	s.recordSoundLocked(now, s.causes)
 }
 
-// recordParts records what the end of a run says about the parts of its prompt. The
-// caller holds the manager's mutex.
-func (s *slot) recordParts(now time.Time, report ports.RunReport) {
+// recordCauses records what the end of a run says about the call and the parts of its
+// prompt. The server's own failure is a whole answer: it shows that the call doesn't end
+// servers, but nothing about its parts. The caller holds the manager's mutex.
+func (s *slot) recordCauses(now time.Time, report ports.RunReport) {
 	switch {
 	case s.soundRecorded:
 	case report.Reason == "" && report.FirstByteAfter > 0:
-		s.recordSoundLocked(now)
+		s.recordSoundLocked(now, s.causes)
+	case report.Reason == outcome.ReasonServerFailed:
+		s.recordSoundLocked(now, s.causes[:1])
 	case report.Reason == outcome.ReasonConnectionBroken || report.Reason == outcome.ReasonAnswerTruncated:
 		s.recordServerEndLocked(now)
 	}
@@ -82,29 +91,29 @@
 	s.manager.logReleased(s.manager.quarantine.RecordOwnLife(now, life))
 }
 
-func (s *slot) recordSoundLocked(now time.Time) {
+func (s *slot) recordSoundLocked(now time.Time, causes []quarantine.CauseHash) {
 	s.soundRecorded = true
 	began := s.answerBeganAt
 	if began.IsZero() {
 		began = now
 	}
-	for _, part := range s.parts {
-		if s.manager.quarantine.RecordOwnSound(now, quarantine.SoundAnswer{Cause: part, At: began}) {
-			s.manager.logReleased([]quarantine.CauseHash{part})
+	for _, cause := range causes {
+		if s.manager.quarantine.RecordOwnSound(now, quarantine.SoundAnswer{Cause: cause, At: began}) {
+			s.manager.logReleased([]quarantine.CauseHash{cause})
 		}
 	}
 }
 
 func (s *slot) recordServerEndLocked(now time.Time) {
-	for _, part := range s.parts {
-		if s.manager.quarantine.RecordOwnEnd(now, quarantine.ServerEnd{Cause: part, Server: s.instance, At: now}) {
-			s.manager.logQuarantined(part, quarantinedByEnds)
+	for _, cause := range s.causes {
+		if s.manager.quarantine.RecordOwnEnd(now, quarantine.ServerEnd{Cause: cause, Server: s.instance, At: now}) {
+			s.manager.logQuarantined(cause, quarantinedByEnds)
 		}
 	}
 }
 
-// addPartUpdates adds what this daemon has learned of prompt parts to a message.
-func addPartUpdates(now time.Time, message *ports.LoadMessage, updates quarantine.Updates) {
+// addCauseUpdates adds what this daemon has learned of calls and prompt parts to a message.
+func addCauseUpdates(now time.Time, message *ports.LoadMessage, updates quarantine.Updates) {
 	message.ServerEnds = toServerEnds(now, updates.Ends)
 	for _, sound := range updates.Sounds {
 		message.SoundAnswers = append(message.SoundAnswers, ports.SoundAnswer{
@@ -148,8 +157,9 @@
 	return ends
 }
 
-// mergeParts records what a peer has learned of prompt parts. The caller holds the mutex.
-func (m *Manager) mergeParts(now time.Time, message *ports.LoadMessage, fromDomain bool) {
+// mergeCauses records what a peer has learned of calls and prompt parts. The caller holds
+// the mutex.
+func (m *Manager) mergeCauses(now time.Time, message *ports.LoadMessage, fromDomain bool) {
 	updates := quarantine.Updates{Ends: fromServerEnds(now, message.ServerEnds)}
 	for _, sound := range message.SoundAnswers {
 		updates.Sounds = append(updates.Sounds, quarantine.SoundAnswer{
@@ -162,22 +172,31 @@
 		})
 	}
 	quarantined, released := m.quarantine.Merge(now, updates, fromDomain)
-	for _, part := range quarantined {
-		m.logQuarantined(part, quarantinedByEnds)
+	for _, cause := range quarantined {
+		m.logQuarantined(cause, quarantinedByEnds)
 	}
 	m.logReleased(released)
-	for _, part := range m.quarantine.Adopt(now, fromServerEnds(now, message.QuarantineEnds)) {
-		m.logQuarantined(part, quarantinedByPeer)
+	for _, cause := range m.quarantine.Adopt(now, fromServerEnds(now, message.QuarantineEnds)) {
+		m.logQuarantined(cause, quarantinedByPeer)
 	}
 }
 
-func (m *Manager) logQuarantined(part quarantine.CauseHash, source string) {
+func (m *Manager) logQuarantined(cause quarantine.CauseHash, source string) {
+	if cause.IsCall() {
+		m.callQuarantineCounter.Inc(source)
+		m.logger.Warn().Str("event", "call-quarantined").Uint64("call", uint64(cause)).Str("source", source).Msg("")
+		return
+	}
 	m.quarantineCounter.Inc(source)
-	m.logger.Warn().Str("event", "prompt-part-quarantined").Uint64("part", uint64(part)).Str("source", source).Msg("")
+	m.logger.Warn().Str("event", "prompt-part-quarantined").Uint64("part", uint64(cause)).Str("source", source).Msg("")
 }
 
-func (m *Manager) logReleased(parts []quarantine.CauseHash) {
-	for _, part := range parts {
-		m.logger.Info().Str("event", "prompt-part-released").Uint64("part", uint64(part)).Msg("")
+func (m *Manager) logReleased(causes []quarantine.CauseHash) {
+	for _, cause := range causes {
+		if cause.IsCall() {
+			m.logger.Info().Str("event", "call-released").Uint64("call", uint64(cause)).Msg("")
+			continue
+		}
+		m.logger.Info().Str("event", "prompt-part-released").Uint64("part", uint64(cause)).Msg("")
 	}
 }
--- a/internal/app/dispatch/slot.go
+++ b/internal/app/dispatch/slot.go
@@ -17,8 +17,8 @@
 	booking       *core.Booking
 	grantDetails  ports.GrantDetails
 	firstByteSeen atomic.Bool
-	// parts are the hashes of the parts of the prompt prefix.
-	parts []quarantine.CauseHash
+	// causes are what of the call may end servers, the whole call first.
+	causes []quarantine.CauseHash
 	// tokens are counted as granted to the workspace.
 	tokens float64
 	// instance identifies the server since its start, and grantedAt is when the call got
@@ -26,7 +26,7 @@
 	instance  quarantine.ServerInstance
 	grantedAt time.Time
 	// answerBeganAt is when the first event arrived; zero before. soundRecorded is true
-	// once the answer has shown that the parts are sound.
+	// once the answer has shown that the call is sound.
 	answerBeganAt time.Time
 	soundRecorded bool
 }
@@ -83,6 +83,6 @@
 	if s.tokens > 0 && !s.firstByteSeen.Load() {
 		s.manager.shares.CancelGrant(now, s.call.Workspace, s.tokens, s.grantedAt)
 	}
-	s.recordParts(now, report)
+	s.recordCauses(now, report)
 	return s.booking.RecordEnd(now, report.Fault)
 }
--- a/internal/app/execution/reporter.go
+++ b/internal/app/execution/reporter.go
@@ -9,6 +9,7 @@
 	"hawthornstream/internal/adapters/logging"
 	"hawthornstream/internal/adapters/metrics"
 	"hawthornstream/internal/core/outcome"
+	"hawthornstream/internal/core/quarantine"
 	"hawthornstream/internal/ports"
 )
 
@@ -86,7 +87,7 @@
 		return
 	}
 	r.log.Info().Str("event", eventRan).Str("request", string(call.ID)).Str("server", string(server.Name)).
-		Strs("parts", call.Prompt.SharedPartIDs()).
+		Uint64("call", uint64(quarantine.HashCall(call))).Strs("parts", call.Prompt.SharedPartIDs()).
 		Str("softwareVersion", server.SoftwareVersion).Int("resumesAfter", call.LastEventID).
 		Str("resumes", string(call.Resumes)).
 		Str("run", string(result.End)).Str("reason", string(result.Reason)).
--- a/internal/core/outcome/reason.go
+++ b/internal/core/outcome/reason.go
@@ -44,5 +44,6 @@
 	ReasonStreamOriginUnknown    Reason = "stream-origin-unknown"   // the software version that began the stream is unknown
 	ReasonSoftwareVersionGone    Reason = "software-version-gone"   // no server of the version that began the stream is left
 	ReasonPartQuarantined        Reason = "prompt-part-quarantined" // a part of the prompt ends the servers that run it
+	ReasonCallQuarantined        Reason = "call-quarantined"        // the call ends the servers that run it
 	ReasonInternal               Reason = "internal"
 )
--- a/internal/core/quarantine/cause.go
+++ b/internal/core/quarantine/cause.go
@@ -14,9 +14,15 @@
 	// minEndInterval is the least time between two ends that count: servers that fail
 	// together, as in a failure domain without power, are one event.
 	minEndInterval = 200 * time.Millisecond
+	// minCallEndInterval is the same for whole calls. One call runs on one server at a
+	// time: it ends the next one as soon as it has been sent there.
+	minCallEndInterval = 50 * time.Millisecond
 	// endLifetime is the time for which an end counts against a cause that is not
 	// quarantined.
 	endLifetime = 30 * time.Second
+	// callEndLifetime is the same for whole calls, which may come again after minutes. A
+	// sound call has a sound answer when it does.
+	callEndLifetime = 10 * time.Minute
 	// quarantineTime is the time from the last end to the end of the quarantine. After
 	// it, a single further end quarantines the cause again, for repeatMemory.
 	quarantineTime = 10 * time.Minute
@@ -30,6 +36,8 @@
 
 // cause is what is known of one possible cause of the ends of servers.
 type cause struct {
+	// isCall is true for a whole call and false for a part of prompts.
+	isCall bool
 	// ends are the ends that count, the oldest first.
 	ends []ServerEnd
 	// soundAt is the start of the latest sound answer, reportedAt when one was last
@@ -43,7 +51,7 @@
 
 // isSuspected reports whether ends count against the cause, or did within repeatMemory.
 func (c *cause) isSuspected(now time.Time) bool {
-	return c.wasQuarantined(now) || len(c.ends) > 0 && now.Sub(c.lastEnd()) < endLifetime
+	return c.wasQuarantined(now) || len(c.ends) > 0 && now.Sub(c.lastEnd()) < c.endLifetime()
 }
 
 func (c *cause) isQuarantined(now time.Time) bool {
@@ -54,6 +62,18 @@
 	return c.quarantined && now.Sub(c.quarantinedAt) < repeatMemory
 }
 
+func (c *cause) endLifetime() time.Duration {
+	if c.isCall {
+		return callEndLifetime
+	}
+	return endLifetime
+}
+
+// endedServer reports whether an end of the server counts against the cause.
+func (c *cause) endedServer(server ServerInstance) bool {
+	return slices.ContainsFunc(c.ends, func(e ServerEnd) bool { return e.Server == server })
+}
+
 func (c *cause) lastEnd() time.Time {
 	return c.ends[len(c.ends)-1].At
 }
@@ -83,7 +103,7 @@
 // reports whether the cause is released because too few are left.
 func (c *cause) recordLife(now time.Time, life SignOfLife) bool {
 	c.ends = slices.DeleteFunc(c.ends, func(end ServerEnd) bool { return end.Server == life.Server && life.refutes(end) })
-	return c.quarantined && countApart(c.ends) < endsToQuarantine && c.release(now)
+	return c.quarantined && c.countApart() < endsToQuarantine && c.release(now)
 }
 
 // refutes reports whether the server answered a request that was sent after the end.
@@ -94,7 +114,7 @@
 // addEnd adds an end, unless one of the server counts already. It drops the oldest above
 // maxEnds.
 func (c *cause) addEnd(end ServerEnd) {
-	if slices.ContainsFunc(c.ends, func(e ServerEnd) bool { return e.Server == end.Server }) {
+	if c.endedServer(end.Server) {
 		return
 	}
 	c.ends = append(c.ends, end)
@@ -104,14 +124,14 @@
 
 // recordEnd adds an end and reports whether the cause was quarantined by it.
 func (c *cause) recordEnd(now time.Time, end ServerEnd) bool {
-	if !end.At.After(c.soundAt) || now.Sub(end.At) >= endLifetime {
+	if !end.At.After(c.soundAt) || now.Sub(end.At) >= c.endLifetime() {
 		return false
 	}
 	if !c.quarantined {
-		c.ends = slices.DeleteFunc(c.ends, func(e ServerEnd) bool { return now.Sub(e.At) >= endLifetime })
+		c.ends = slices.DeleteFunc(c.ends, func(e ServerEnd) bool { return now.Sub(e.At) >= c.endLifetime() })
 	}
 	c.addEnd(end)
-	if c.isQuarantined(now) || countApart(c.ends) < c.requiredEnds(now) {
+	if c.isQuarantined(now) || c.countApart() < c.requiredEnds(now) {
 		return false
 	}
 	c.quarantined, c.quarantinedAt = true, end.At
@@ -125,7 +145,7 @@
 	for _, end := range ends {
 		c.addEnd(end)
 	}
-	if countApart(c.ends) < endsToQuarantine || c.soundAt.After(c.ends[0].At) || now.Sub(c.lastEnd()) >= quarantineTime {
+	if c.countApart() < endsToQuarantine || c.soundAt.After(c.ends[0].At) || now.Sub(c.lastEnd()) >= quarantineTime {
 		return false
 	}
 	c.quarantined = true
@@ -147,12 +167,16 @@
 	}
 }
 
-// countApart counts the ends that are at least minEndInterval after the last counted one.
-func countApart(ends []ServerEnd) int {
+// countApart counts the ends that are apart in time.
+func (c *cause) countApart() int {
+	interval := minEndInterval
+	if c.isCall {
+		interval = minCallEndInterval
+	}
 	count := 0
 	var last time.Time
-	for _, end := range ends {
-		if count == 0 || end.At.Sub(last) >= minEndInterval {
+	for _, end := range c.ends {
+		if count == 0 || end.At.Sub(last) >= interval {
 			count++
 			last = end.At
 		}
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -17,17 +18,41 @@
 	// of life is kept.
 	maxCauses = 8192
 	maxLives  = 1024
+	// maxSoundCalls limits the calls of which a sound answer is remembered, for the ends
+	// that another daemon reports later.
+	maxSoundCalls = 4096
 	// reportInterval is the least time between two reports of a sound answer for one
 	// cause, or of a sign of life of one server.
 	reportInterval = time.Second
 )
 
-// CauseHash identifies a prompt part of a service.
+// CauseHash identifies what may end servers: a part of the prompts of a service, or a whole
+// call. The lowest bit is set for calls.
 type CauseHash uint64
 
+const callBit = 1
+
 // HashPart returns the hash of a prompt part of a service.
 func HashPart(service ports.ServiceName, id string) CauseHash {
-	return CauseHash(xxhash.Sum64String(string(service) + "\x00" + id))
+	return CauseHash(xxhash.Sum64String(string(service)+"\x00"+id)) &^ callBit
+}
+
+// HashCall returns the hash of a call, which is the same when the caller sends it again at
+// any daemon, under another ID.
+func HashCall(call *ports.Call) CauseHash {
+	digest := xxhash.New()
+	for _, field := range []string{string(call.Workspace), call.Method, call.Host, call.Path} {
+		// Writes to a digest don't fail.
+		_, _ = digest.WriteString(field)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(call.Body)
+	return CauseHash(digest.Sum64()) | callBit
+}
+
+// IsCall reports whether the hash is that of a whole call.
+func (h CauseHash) IsCall() bool {
+	return h&callBit != 0
 }
 
 // ServerInstance identifies one start of a server.
@@ -76,6 +101,8 @@
 // safe for concurrent use.
 type Table struct {
 	causes map[CauseHash]*cause
+	// soundCalls are the latest calls with sound answers that are not in causes.
+	soundCalls *recentCalls
 	// suspects has the causes against which an end of a server counts, or did.
 	suspects map[ServerInstance][]CauseHash
 	// lives are the latest signs of life of the servers in suspects.
@@ -88,7 +115,7 @@
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		causes: make(map[CauseHash]*cause), suspects: make(map[ServerInstance][]CauseHash),
+		causes: make(map[CauseHash]*cause), soundCalls: newRecentCalls(maxSoundCalls), suspects: make(map[ServerInstance][]CauseHash),
 		lives: make(map[ServerInstance]time.Time),
 	}
 }
@@ -103,6 +130,9 @@
 // RecordOwnSound records a sound answer that this daemon relayed, for other daemons too if
 // the cause is suspected. It reports whether the cause was released by it.
 func (t *Table) RecordOwnSound(now time.Time, sound SoundAnswer) bool {
+	if t.recordSoundCall(sound) {
+		return false
+	}
 	p := t.causeOf(now, sound.Cause)
 	wasSuspected := p.isSuspected(now)
 	released := p.recordSound(now, sound.At)
@@ -137,7 +167,7 @@
 		}
 	}
 	for _, sound := range updates.Sounds {
-		if t.causeOf(now, sound.Cause).recordSound(now, sound.At) {
+		if !t.recordSoundCall(sound) && t.causeOf(now, sound.Cause).recordSound(now, sound.At) {
 			released = append(released, sound.Cause)
 		}
 	}
@@ -194,23 +224,24 @@
 // unless an answer with the cause was sound since or the servers live. It returns the causes
 // that were not quarantined before.
 func (t *Table) Adopt(now time.Time, ends []ServerEnd) (quarantined []CauseHash) {
-	byPart := make(map[CauseHash][]ServerEnd)
+	byCause := make(map[CauseHash][]ServerEnd)
 	for _, end := range ends {
 		if t.isRefuted(end) {
 			continue
 		}
-		byPart[end.Cause] = append(byPart[end.Cause], end)
+		byCause[end.Cause] = append(byCause[end.Cause], end)
 	}
-	for hash, partEnds := range byPart {
+	for hash, causeEnds := range byCause {
 		p := t.causeOf(now, hash)
-		for _, end := range partEnds {
+		for _, end := range causeEnds {
 			t.suspect(end)
 			if p.soundAt.After(end.At) {
 				t.reportSound(now, hash, p)
 			}
 		}
-		if p.adopt(now, partEnds) {
+		if p.adopt(now, causeEnds) {
 			quarantined = append(quarantined, hash)
+			t.clearExplained(now, hash)
 		}
 	}
 	return quarantined
@@ -230,8 +261,57 @@
 	if t.isRefuted(end) {
 		return false
 	}
+	if t.isExplained(now, end) {
+		return false
+	}
 	t.suspect(end)
-	return t.causeOf(now, end.Cause).recordEnd(now, end)
+	if !t.causeOf(now, end.Cause).recordEnd(now, end) {
+		return false
+	}
+	t.clearExplained(now, end.Cause)
+	return true
+}
+
+// recordSoundCall records the sound answer of a call against which nothing counts, and
+// reports whether it is one.
+func (t *Table) recordSoundCall(sound SoundAnswer) bool {
+	if !sound.Cause.IsCall() || t.causes[sound.Cause] != nil {
+		return false
+	}
+	t.soundCalls.record(sound.Cause, sound.At)
+	return true
+}
+
+// isExplained reports whether another call that is quarantined ended the same server, so
+// that the end doesn't count against this call.
+func (t *Table) isExplained(now time.Time, end ServerEnd) bool {
+	if !end.Cause.IsCall() {
+		return false
+	}
+	for _, hash := range t.suspects[end.Server] {
+		other := t.causes[hash]
+		if hash != end.Cause && other != nil && other.isCall && other.isQuarantined(now) && other.endedServer(end.Server) {
+			return true
+		}
+	}
+	return false
+}
+
+// clearExplained drops the ends of servers that the given call, which was quarantined just
+// now, has ended from the calls that are not quarantined: those only ran beside it.
+func (t *Table) clearExplained(now time.Time, quarantined CauseHash) {
+	if !quarantined.IsCall() {
+		return
+	}
+	for _, end := range t.causes[quarantined].ends {
+		for _, hash := range t.suspects[end.Server] {
+			other := t.causes[hash]
+			if hash == quarantined || other == nil || !other.isCall || other.isQuarantined(now) {
+				continue
+			}
+			other.ends = slices.DeleteFunc(other.ends, func(e ServerEnd) bool { return e.Server == end.Server })
+		}
+	}
 }
 
 func (t *Table) isRefuted(end ServerEnd) bool {
@@ -276,7 +356,7 @@
 		if len(t.causes) >= maxCauses {
 			t.prune(now)
 		}
-		p = &cause{}
+		p = &cause{isCall: hash.IsCall(), soundAt: t.soundCalls.soundAt(hash)}
 		t.causes[hash] = p
 	}
 	return p
