LIMIT: report limits and their ends again every five seconds

A daemon that sends nothing to a server learns of the end of its limit by one report alone. If that is lost, it avoids the server until the server restarts.

--- a/internal/app/dispatch/exchange.go
+++ b/internal/app/dispatch/exchange.go
@@ -30,6 +30,9 @@
 	// mergeInterval is the least time between two summations of the peers'
 	// reports.
 	mergeInterval = 20 * time.Millisecond
+	// limitSyncPeriod is the time between two reports of all limits of servers by an
+	// aggregator.
+	limitSyncPeriod = 5 * time.Second
 )
 
 // exchangeState is the state of sending load reports.
@@ -37,6 +40,7 @@
 	sequence        uint64
 	ratesSentAt     time.Time
 	aggregateSentAt time.Time
+	limitsQueuedAt  time.Time
 }
 
 // sendLoadMessages sends this daemon's load to the daemons of its failure domain
@@ -47,6 +51,10 @@
 	topology := core.NewTopology(m.directory.Self(), daemons)
 	digest := m.listDigest()
 	m.mu.Lock()
+	if topology.IsAggregator && now.Sub(m.exchange.limitsQueuedAt) >= limitSyncPeriod {
+		m.exchange.limitsQueuedAt = now
+		m.notices.QueueLimits(now)
+	}
 	message := m.newLoadMessage(now, digest)
 	var aggregate *ports.LoadMessage
 	if topology.IsAggregator &&
--- a/internal/core/dispatch/limits.go
+++ b/internal/core/dispatch/limits.go
@@ -10,6 +10,9 @@
 	// limitReportInterval is the time after which a limit that a server still names is
 	// reported to the other daemons again, for those that have started since.
 	limitReportInterval = 2 * time.Second
+	// endedLimitMemory is how long the end of a limit is reported again, for daemons that
+	// could not be reached when it ended.
+	endedLimitMemory = noticeLifetime
 	// minReturnRate is the least rate, in calls per second, at which one daemon lets
 	// refused callers return.
 	minReturnRate = 0.05
@@ -91,6 +94,18 @@
 	return n.takeLimits(n.crossDomainLimits)
 }
 
+// QueueLimits queues all known limits, and the ends of limits, to be reported again. A
+// daemon that sends nothing to a server learns of the end of its limit by reports alone,
+// and reports may be lost.
+func (n *Notices) QueueLimits(now time.Time) {
+	for key, recorded := range n.byInstance {
+		said := recorded.limit
+		if said.limit.IsSet || !said.at.IsZero() && now.Sub(said.at) < endedLimitMemory {
+			n.domainLimits[key], n.crossDomainLimits[key] = true, true
+		}
+	}
+}
+
 func (n *Notices) takeLimits(queued limitUpdates) []LimitUpdate {
 	var updates []LimitUpdate
 	for key := range queued {
--- a/internal/core/dispatch/limits_test.go
+++ b/internal/core/dispatch/limits_test.go
@@ -276,6 +276,27 @@
 	}
 }
 
+// A daemon that sends nothing to a server is not reached when the server's limit ends. It
+// learns of the end later.
+func TestEndOfLimitIsReportedAgain(t *testing.T) {
+	here, there := NewNotices(), NewNotices()
+	server := ports.VM{Name: "s1"}
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	here.RecordLimit(at(1), server, at(0), ports.ServerLimit{IsSet: true, RequestsPerSecond: 2})
+	there.MergeLimits(at(1), here.TakeDomainLimits(), true)
+	here.RecordLimit(at(3), server, at(2), ports.ServerLimit{})
+	here.TakeDomainLimits()
+	here.TakeCrossDomainLimits()
+	here.QueueLimits(at(60))
+	if !there.MergeLimits(at(60), here.TakeDomainLimits(), true) || there.byInstance[instanceOf(server)].limit.limit.IsSet {
+		t.Error("the other daemon still knows the limit")
+	}
+	here.QueueLimits(at(61))
+	if updates := here.TakeCrossDomainLimits(); len(updates) != 1 {
+		t.Errorf("other domains are told %+v", updates)
+	}
+}
+
 // Hundreds of callers are refused within a second because of a limit. Those that can come
 // back in time come back at the rate at which the server takes calls.
 func TestRefusedCallersReturnAtRateOfLimit(t *testing.T) {
