LIMIT: let servers name limits in the soak

In each run but those of silent servers, a server of each service names a limit between 0.5 and 8 requests a second while daemons are killed, stopped, paused and cut off. Requests above it are a violation; a daemon that has just started or was paused may send as many requests as there are callers.

--- a/testbench/soak/backends.go
+++ b/testbench/soak/backends.go
@@ -98,6 +98,7 @@
 	failureMode   atomic.Int32
 	// pausedUntil is the Unix time in nanoseconds until which the server sends nothing.
 	pausedUntil atomic.Int64
+	limit       namedLimit
 	closed      chan struct{}
 }
 
@@ -135,6 +136,7 @@
 }
 
 func (s *backendServer) handle(w http.ResponseWriter, r *http.Request) {
+	s.limit.receive(w)
 	mode := failureMode(s.failureMode.Load())
 	if rand.IntN(2) == 0 {
 		mode = noFailure
--- a/testbench/soak/faults.go
+++ b/testbench/soak/faults.go
@@ -117,6 +117,7 @@
 		}
 		d.exitExpected = false
 		d.startedAt = time.Now()
+		r.interruptions = append(r.interruptions, d.startedAt)
 		if err := d.Start(); err != nil {
 			r.checker.addViolation("soak: start %s: %v", d.Name, err)
 		}
@@ -179,6 +180,7 @@
 	return func() {
 		_ = d.Resume()
 		d.paused = false
+		r.interruptions = append(r.interruptions, time.Now())
 	}
 }
 
--- a/testbench/soak/soak.go
+++ b/testbench/soak/soak.go
@@ -70,7 +70,10 @@
 	servers []*backendServer
 	// replacedServers are out of use. They run until the end, as calls sent before may
 	// still be in progress there.
-	replacedServers      []*backendServer
+	replacedServers []*backendServer
+	limitedServers  []limitedServer
+	// interruptions are the times at which daemons started or went on after a pause.
+	interruptions        []time.Time
 	daemons              []*daemon
 	configurationVersion int
 	// storeCopies are the copies from which the store may be restored, oldest first.
@@ -116,7 +119,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	r.startCallers(ctx, &callers)
+	if !r.options.SilentServersOnly {
+		r.limitServers()
+	}
 	r.injectFaults()
+	r.endLimits()
 	r.checkRecovery()
 	cancel()
 	callers.Wait()
--- a/testbench/soak/soak_test.go
+++ b/testbench/soak/soak_test.go
@@ -67,6 +67,24 @@
 	}
 }
 
+// A daemon that ignores the limit of a server would not be seen.
+func TestExcessOverLimitIsDetected(t *testing.T) {
+	began := time.Now()
+	l := namedLimit{firstNamedAt: began}
+	for i := range 200 {
+		l.received = append(l.received, began.Add(time.Duration(i)*50*time.Millisecond))
+	}
+	if excess := l.largestExcess(2, nil, 20); excess != 80-17 {
+		t.Errorf("80 requests in a window exceed the 17 allowed by %d", excess)
+	}
+	if excess := l.largestExcess(2, []time.Time{began.Add(5 * time.Second)}, 20); excess != 80-17 {
+		t.Errorf("after an interruption, the excess in a later window is %d", excess)
+	}
+	if excess := l.largestExcess(12.5, nil, 20); excess != 0 {
+		t.Errorf("allowed requests exceed the limit by %d", excess)
+	}
+}
+
 // A checker that misses violations would let every soak run pass.
 func TestCheckerDetectsViolations(t *testing.T) {
 	write, read := callKinds[3], callKinds[2]
