LIMIT: let reports of limits of gone servers end

The time of a report is late by the delay of its message, so that each report seemed newer than what its receiver knew: daemons would have kept the limits of servers that are gone new, and reported, for good. A report of a known limit counts only if it is a second newer, and limits that no answer has confirmed for ten minutes are not reported. TestLimitOfGoneServerIsReportedNoLonger failed before.

--- a/internal/core/dispatch/limits.go
+++ b/internal/core/dispatch/limits.go
@@ -10,9 +10,13 @@
 	// limitReportInterval is the time after which a limit that a server still names is
 	// reported to the other daemons again, for those that have started since.
 	limitReportInterval = 2 * time.Second
-	// endedLimitMemory is how long the end of a limit is reported again, for daemons that
-	// could not be reached when it ended.
-	endedLimitMemory = noticeLifetime
+	// limitReportLifetime is how long a limit that no answer has confirmed, or its end, is
+	// reported again, for daemons that could not be reached before.
+	limitReportLifetime = 10 * time.Minute
+	// minConfirmation is the least time by which a report of a known limit must be newer
+	// to count. Reported times are late by the delay of the message: daemons that report
+	// the same limit to each other would keep it new for good.
+	minConfirmation = time.Second
 	// minReturnRate is the least rate, in calls per second, at which one daemon lets
 	// refused callers return.
 	minReturnRate = 0.05
@@ -70,10 +74,12 @@
 	for _, update := range updates {
 		key := serverInstance{name: update.Server, startedMillis: update.StartedMillis}
 		recorded := n.byInstance[key]
-		if !update.At.After(recorded.limit.at) {
+		isChange := update.Limit != recorded.limit.limit
+		newer := update.At.Sub(recorded.limit.at)
+		if newer <= 0 || !isChange && newer < minConfirmation {
 			continue
 		}
-		changed = changed || update.Limit != recorded.limit.limit
+		changed = changed || isChange
 		recorded.limit.limit, recorded.limit.at = update.Limit, update.At
 		n.setByKey(now, key, recorded)
 		if fromDomain {
@@ -94,13 +100,12 @@
 	return n.takeLimits(n.crossDomainLimits)
 }
 
-// QueueLimits queues all known limits, and the ends of limits, to be reported again. A
+// QueueLimits queues the known limits and the ends of limits to be reported again. A
 // daemon that sends nothing to a server learns of the end of its limit by reports alone,
 // and reports may be lost.
 func (n *Notices) QueueLimits(now time.Time) {
 	for key, recorded := range n.byInstance {
-		said := recorded.limit
-		if said.limit.IsSet || !said.at.IsZero() && now.Sub(said.at) < endedLimitMemory {
+		if at := recorded.limit.at; !at.IsZero() && now.Sub(at) < limitReportLifetime {
 			n.domainLimits[key], n.crossDomainLimits[key] = true, true
 		}
 	}
--- a/internal/core/dispatch/limits_test.go
+++ b/internal/core/dispatch/limits_test.go
@@ -297,6 +297,31 @@
 	}
 }
 
+// Two daemons report the limit of a server that is gone to each other, with the delay of a
+// link. It must not stay new for good.
+func TestLimitOfGoneServerIsReportedNoLonger(t *testing.T) {
+	const delay = 30 * time.Millisecond
+	daemons := [2]*Notices{NewNotices(), NewNotices()}
+	now := start
+	daemons[0].RecordLimit(now, ports.VM{Name: "s1"}, now, ports.ServerLimit{IsSet: true, RequestsPerSecond: 2})
+	for end := start.Add(3 * limitReportLifetime); now.Before(end); now = now.Add(5 * time.Second) {
+		for i, from := range daemons {
+			from.QueueLimits(now)
+			updates := from.TakeDomainLimits()
+			for j := range updates {
+				updates[j].At = updates[j].At.Add(delay)
+			}
+			daemons[1-i].MergeLimits(now.Add(delay), updates, true)
+		}
+	}
+	for i, n := range daemons {
+		n.QueueLimits(now)
+		if updates := n.TakeDomainLimits(); len(updates) > 0 {
+			t.Errorf("daemon %d reports %+v after %s", i, updates, now.Sub(start))
+		}
+	}
+}
+
 // Hundreds of callers are refused within a second because of a limit. Those that can come
 // back in time come back at the rate at which the server takes calls.
 func TestRefusedCallersReturnAtRateOfLimit(t *testing.T) {
