LIMIT: divide the retry budget of a fleet by 16 daemons at least after a start

For five seconds it takes the fleet to have at least 16 daemons. TestStartingDaemonDoesNotTakeRetriesOfFleet failed before: 128 of 160.

--- a/internal/app/execution/fleetpolicy.go
+++ b/internal/app/execution/fleetpolicy.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"hawthornstream/internal/core/retry"
 	"hawthornstream/internal/ports"
@@ -13,6 +14,13 @@
 // limit do not start together.
 const budgetSafetyFactor = 0.8
 
+const (
+	// startupPeriod is how long after its start a daemon may not know the others. It takes
+	// the fleet to have at least startupDaemons then.
+	startupPeriod  = 5 * time.Second
+	startupDaemons = 16
+)
+
 // fleetRetryPolicy gives this daemon its share of the retries that the fleet may make.
 type fleetRetryPolicy struct {
 	settings  settings.Retries
@@ -21,10 +29,11 @@
 	// a network partition each daemon considers fewer daemons alive, and the shares
 	// must still not add up to more than the fleet's retries.
 	maxDaemons atomic.Int64
+	startedAt  time.Time
 }
 
-func newFleetRetryPolicy(s settings.Retries, directory ports.Directory) *fleetRetryPolicy {
-	return &fleetRetryPolicy{settings: s, directory: directory}
+func newFleetRetryPolicy(startedAt time.Time, s settings.Retries, directory ports.Directory) *fleetRetryPolicy {
+	return &fleetRetryPolicy{settings: s, directory: directory, startedAt: startedAt}
 }
 
 // daemonPolicy returns the retry policy of this daemon. Without a minimum of retries
@@ -42,6 +51,9 @@
 		highest = p.maxDaemons.Load()
 	}
 	daemons := max(alive, highest, 1)
+	if time.Since(p.startedAt) < startupPeriod {
+		daemons = max(daemons, startupDaemons)
+	}
 	policy.RetryRatio *= budgetSafetyFactor
 	policy.MinRetries = int(budgetSafetyFactor * float64(p.settings.MinFleetRetries) / float64(daemons))
 	return policy
--- a/internal/app/execution/fleetpolicy_test.go
+++ b/internal/app/execution/fleetpolicy_test.go
@@ -17,12 +17,15 @@
 
 func (d *fakeDirectory) Daemons() []ports.VM { return make([]ports.VM, d.daemons) }
 
+// longAgo returns the start of a daemon that knows its fleet.
+func longAgo() time.Time { return time.Now().Add(-time.Hour) }
+
 // When backend servers fail for all daemons at once, the retries of all daemons
 // together stay within the ratio and the minimum that are set for the fleet.
 func TestDaemonsStayWithinRetriesOfFleet(t *testing.T) {
 	limits := settings.Retries{Ratio: 0.2, MinFleetRetries: 158}
 	for _, daemons := range []int{1, 9, 59, 84} {
-		policy := newFleetRetryPolicy(limits, &fakeDirectory{daemons: daemons}).daemonPolicy
+		policy := newFleetRetryPolicy(longAgo(), limits, &fakeDirectory{daemons: daemons}).daemonPolicy
 		now := time.Unix(1000, 0)
 		const callsPerDaemon = 40
 		retries := 0
@@ -49,10 +52,20 @@
 // its share of the retries of the whole fleet.
 func TestRetriesDoNotGrowDuringPartition(t *testing.T) {
 	directory := &fakeDirectory{daemons: 50}
-	policy := newFleetRetryPolicy(settings.Retries{Ratio: 0.2, MinFleetRetries: 500}, directory)
+	policy := newFleetRetryPolicy(longAgo(), settings.Retries{Ratio: 0.2, MinFleetRetries: 500}, directory)
 	before := policy.daemonPolicy().MinRetries
 	directory.daemons = 1
 	if after := policy.daemonPolicy().MinRetries; after != before {
 		t.Errorf("the minimum of retries is %d among 50 daemons and %d alone", before, after)
 	}
 }
+
+// A daemon that has just started knows no other yet. It must not take the minimum of retries
+// of the whole fleet, which the others use.
+func TestStartingDaemonDoesNotTakeRetriesOfFleet(t *testing.T) {
+	limits := settings.Retries{Ratio: 0.2, MinFleetRetries: 160}
+	policy := newFleetRetryPolicy(time.Now(), limits, &fakeDirectory{daemons: 1}).daemonPolicy()
+	if most := limits.MinFleetRetries / 16; policy.MinRetries > most {
+		t.Errorf("a daemon that starts takes %d retries of the fleet's %d", policy.MinRetries, limits.MinFleetRetries)
+	}
+}
--- a/internal/app/execution/module.go
+++ b/internal/app/execution/module.go
@@ -106,6 +106,6 @@
 	return NewExecutor(Params{
 		Logger: p.Logger, Scope: p.Scope, Broker: p.Broker, Backends: p.Backends, Keys: p.Keys,
 		MaxAnswerBytes: p.Settings.Limits.MaxReplayedAnswerSize.Bytes(),
-		RetryPolicy:    newFleetRetryPolicy(p.Settings.Retries, p.Directory).daemonPolicy,
+		RetryPolicy:    newFleetRetryPolicy(time.Now(), p.Settings.Retries, p.Directory).daemonPolicy,
 	})
 }
