--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -133,11 +133,11 @@
 	if t.recordSoundCall(sound) {
 		return false
 	}
-	p := t.causeOf(now, sound.Cause)
-	wasSuspected := p.isSuspected(now)
-	released := p.recordSound(now, sound.At)
+	c := t.causeOf(now, sound.Cause)
+	wasSuspected := c.isSuspected(now)
+	released := c.recordSound(now, sound.At)
 	if wasSuspected {
-		t.reportSound(now, sound.Cause, p)
+		t.reportSound(now, sound.Cause, c)
 	}
 	return released
 }
@@ -162,8 +162,8 @@
 		if t.recordEnd(now, end) {
 			quarantined = append(quarantined, end.Cause)
 		}
-		if p := t.causes[end.Cause]; p != nil && !p.soundAt.Before(end.At) {
-			t.reportSound(now, end.Cause, p)
+		if c := t.causes[end.Cause]; c != nil && !c.soundAt.Before(end.At) {
+			t.reportSound(now, end.Cause, c)
 		}
 	}
 	for _, sound := range updates.Sounds {
@@ -186,12 +186,12 @@
 }
 
 // reportSound queues the latest sound answer of a cause for other daemons.
-func (t *Table) reportSound(now time.Time, hash CauseHash, p *cause) {
-	if now.Sub(p.reportedAt) < reportInterval {
+func (t *Table) reportSound(now time.Time, hash CauseHash, c *cause) {
+	if now.Sub(c.reportedAt) < reportInterval {
 		return
 	}
-	p.reportedAt = now
-	t.report(Updates{Sounds: []SoundAnswer{{Cause: hash, At: p.soundAt}}})
+	c.reportedAt = now
+	t.report(Updates{Sounds: []SoundAnswer{{Cause: hash, At: c.soundAt}}})
 }
 
 // TakeDomainUpdates returns the updates for the other daemons of this failure domain since
@@ -212,9 +212,9 @@
 // QuarantineEnds returns the ends of all quarantined causes, for Adopt at another daemon.
 func (t *Table) QuarantineEnds(now time.Time) []ServerEnd {
 	var ends []ServerEnd
-	for _, p := range t.causes {
-		if p.isQuarantined(now) {
-			ends = append(ends, p.ends...)
+	for _, c := range t.causes {
+		if c.isQuarantined(now) {
+			ends = append(ends, c.ends...)
 		}
 	}
 	return ends
@@ -232,14 +232,14 @@
 		byCause[end.Cause] = append(byCause[end.Cause], end)
 	}
 	for hash, causeEnds := range byCause {
-		p := t.causeOf(now, hash)
+		c := t.causeOf(now, hash)
 		for _, end := range causeEnds {
 			t.suspect(end)
-			if p.soundAt.After(end.At) {
-				t.reportSound(now, hash, p)
+			if c.soundAt.After(end.At) {
+				t.reportSound(now, hash, c)
 			}
 		}
-		if p.adopt(now, causeEnds) {
+		if c.adopt(now, causeEnds) {
 			quarantined = append(quarantined, hash)
 			t.clearExplained(now, hash)
 		}
@@ -250,11 +250,11 @@
 // QuarantinedUntil returns when the quarantine of a cause ends; false if it isn't
 // quarantined.
 func (t *Table) QuarantinedUntil(now time.Time, hash CauseHash) (time.Time, bool) {
-	p, ok := t.causes[hash]
-	if !ok || !p.isQuarantined(now) {
+	c, ok := t.causes[hash]
+	if !ok || !c.isQuarantined(now) {
 		return time.Time{}, false
 	}
-	return p.quarantinedAt.Add(quarantineTime), true
+	return c.quarantinedAt.Add(quarantineTime), true
 }
 
 func (t *Table) recordEnd(now time.Time, end ServerEnd) bool {
@@ -343,7 +343,7 @@
 		t.lives[life.Server] = life.At
 	}
 	for _, hash := range suspects {
-		if p, ok := t.causes[hash]; ok && p.recordLife(now, life) {
+		if c, ok := t.causes[hash]; ok && c.recordLife(now, life) {
 			released = append(released, hash)
 		}
 	}
@@ -351,31 +351,31 @@
 }
 
 func (t *Table) causeOf(now time.Time, hash CauseHash) *cause {
-	p, ok := t.causes[hash]
+	c, ok := t.causes[hash]
 	if !ok {
 		if len(t.causes) >= maxCauses {
 			t.prune(now)
 		}
-		p = &cause{isCall: hash.IsCall(), soundAt: t.soundCalls.soundAt(hash)}
-		t.causes[hash] = p
+		c = &cause{isCall: hash.IsCall(), soundAt: t.soundCalls.soundAt(hash)}
+		t.causes[hash] = c
 	}
-	return p
+	return c
 }
 
 // prune makes room for an eighth of the causes, so that it is seldom needed. Suspected
 // causes stay unless all are.
 func (t *Table) prune(now time.Time) {
-	for hash, p := range t.causes {
-		if !p.isSuspected(now) && now.Sub(p.soundAt) > soundMemory {
+	for hash, c := range t.causes {
+		if !c.isSuspected(now) && now.Sub(c.soundAt) > soundMemory {
 			delete(t.causes, hash)
 		}
 	}
 	for _, keepSuspected := range []bool{true, false} {
-		for hash, p := range t.causes {
+		for hash, c := range t.causes {
 			if len(t.causes) < maxCauses-maxCauses/8 {
 				return
 			}
-			if !keepSuspected || !p.isSuspected(now) {
+			if !keepSuspected || !c.isSuspected(now) {
 				delete(t.causes, hash)
 			}
 		}
