PLACES: terms for regions, warm-up and evacuations in the configuration

Nothing reads them yet, and a configuration without them stays valid. Failure domains and regions become types of the configuration package, as the other names are.

--- a/internal/core/configuration/document.go
+++ b/internal/core/configuration/document.go
@@ -18,6 +18,12 @@
 // VMName identifies a VM.
 type VMName string
 
+// FailureDomain names a set of VMs that fail together.
+type FailureDomain string
+
+// Region names a set of failure domains with low-latency links between them.
+type Region string
+
 // ServiceKind is the protocol that the backend servers of a service speak.
 type ServiceKind string
 
@@ -46,6 +52,8 @@
 	Limits Limits `json:"limits,omitzero"`
 	// PlannedStops lists the VMs whose daemons are to stop gracefully.
 	PlannedStops []PlannedStop `json:"plannedStops,omitempty" validate:"dive"`
+	// EvacuatedDomains lists the failure domains whose backend servers get no calls.
+	EvacuatedDomains []FailureDomain `json:"evacuatedDomains,omitempty" validate:"dive,name"`
 }
 
 // Service is the configuration of one service.
@@ -69,6 +77,12 @@
 	// MemoryTokens is the number of tokens that the memory of one engine holds.
 	// Default: unknown; 1 to 1000000000.
 	MemoryTokens int `json:"memoryTokens,omitempty" validate:"omitempty,between=1 1000000000" fieldcheck:"notzero"`
+	// WarmUpWithin is how long a backend server is cold after its start. Default: its
+	// servers are never cold; 1ms to 1h.
+	WarmUpWithin Duration `json:"warmUpWithin,omitempty" validate:"omitempty,between=1ms 1h" fieldcheck:"notzero"`
+	// WarmUpRate is the number of requests per second that a cold backend server bears
+	// from all daemons together. Default: no limit; 0.01 to 1000000.
+	WarmUpRate float64 `json:"warmUpRate,omitempty" validate:"omitempty,between=0.01 1000000" fieldcheck:"notzero"`
 }
 
 // Class is a class of calls with its latency targets.
@@ -94,6 +108,9 @@
 	// bearer keys of the workspace's callers. Each belongs to one workspace
 	// only.
 	KeyDigests []string `json:"keyDigests" validate:"dive,keydigest"`
+	// AllowedRegions are the regions in which the workspace's calls may run. Default:
+	// all.
+	AllowedRegions []Region `json:"allowedRegions,omitempty" validate:"dive,name"`
 }
 
 // PlannedStop requests the graceful stop of one daemon.
--- a/internal/core/configuration/routes.go
+++ b/internal/core/configuration/routes.go
@@ -38,6 +38,9 @@
 	// PauseWithin is the target for the time between two events. Default: none;
 	// 1ms to 24h.
 	PauseWithin Duration `json:"pauseWithin,omitempty" validate:"omitempty,between=1ms 24h" fieldcheck:"notzero"`
+	// AllowedRegions are the regions in which the route's calls may run. Where the
+	// workspace names regions too, both lists bind. Default: all.
+	AllowedRegions []Region `json:"allowedRegions,omitempty" validate:"dive,name"`
 }
 
 // WeightedService is a service with the weight that determines its part of a
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -18,6 +18,8 @@
 	Service   ServiceName
 	Kind      configuration.ServiceKind
 	Class     ClassName
+	// Route is the route that the call matched; empty without routes.
+	Route RouteName
 	// Arrived is when the daemon received the request. Deadlines and waiting
 	// times count from it.
 	Arrived time.Time
--- a/internal/ports/identity.go
+++ b/internal/ports/identity.go
@@ -12,17 +12,17 @@
 	ClassName = configuration.ClassName
 	// VMName names one VM, whether it runs a daemon or a backend server.
 	VMName = configuration.VMName
+	// FailureDomain names a set of VMs that fail together.
+	FailureDomain = configuration.FailureDomain
+	// Region names a set of failure domains with low-latency links between them.
+	Region = configuration.Region
+	// RouteName names a route.
+	RouteName = configuration.RouteName
 )
 
 // DaemonID identifies a daemon by the name of its VM.
 type DaemonID = VMName
 
-// FailureDomain names a set of VMs that fail together.
-type FailureDomain string
-
-// Region names a set of failure domains with low-latency links between them.
-type Region string
-
 // ShardID identifies a shard: a group of backend servers of one service whose
 // slots are granted by one owner.
 type ShardID string
