REGIONS: calls run in the regions that their route and workspace allow

Routes and workspaces may name allowed regions, and nothing read them: a call went to any server. A call now carries the lists of its route and workspace with their revision; each choice of a server takes those of the newest document. First tries, retries, replacements, resumptions and trial calls, preferred servers and sources of cached prefixes, times to return, and the homes of stream origins lie in these regions only. Where the lists leave no known region, the call is refused as no-allowed-region; where no server there is sound, as regions-unavailable, both at once and as not run. Calls without lists are served as before.

--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -89,7 +89,7 @@
 		return nil, refusal
 	}
 	m.waiters = append(m.waiters, w)
-	if pool, ok := m.pools[call.Service]; ok && pool.HasLimit() {
+	if pool, ok := m.pools[call.Service]; ok && pool.HasLimit(&w.work) {
 		m.signalPause()
 	}
 	m.mu.Unlock()
@@ -140,7 +140,12 @@
 		w.refuse(refusal)
 		return true
 	}
+	m.updateRegions(w)
 	pool, ok := m.pools[w.call.Service]
+	if refusal := m.noAllowedRegionRefusal(w); refusal != nil {
+		w.refuse(refusal)
+		return true
+	}
 	if !ok || len(pool.Servers()) == 0 {
 		w.refuse(noServerRefusal("no backend server of the service is known"))
 		return true
@@ -149,6 +154,10 @@
 		w.refuse(versionGoneRefusal("no other backend server has the software version of the stream"))
 		return true
 	}
+	if refusal := m.unsoundRegionsRefusal(now, w, pool); refusal != nil {
+		w.refuse(refusal)
+		return true
+	}
 	choice, ok := choose(pool, now, &w.work, m.admissionTerms(now, w))
 	if !ok {
 		return m.refuseUnservable(now, w, pool)
@@ -165,8 +174,10 @@
 	if found && !free.After(w.waitEnd()) {
 		return false
 	}
-	free, found = pool.EarliestFree(now, nil)
+	free, found = pool.EarliestFree(now, w.work.InItsRegions())
 	switch {
+	case !found && w.work.Regions().IsBound():
+		w.refuse(regionsUnavailableRefusal(now, w, pool))
 	case !found:
 		w.refuse(allLeavingRefusal())
 	case free.After(now):
@@ -290,7 +301,7 @@
 		return noServerRefusal("the service is gone from the configuration")
 	}
 	choice, ok := pool.Choose(now, &w.work, core.AdmissionTerms{Waited: now.Sub(w.call.Arrived)})
-	if free, found := pool.EarliestFree(now, nil); choice.Server == nil && found && free.After(now) {
+	if free, found := pool.EarliestFree(now, w.work.InItsRegions()); choice.Server == nil && found && free.After(now) {
 		return noneFreeRefusal(now, w, pool, free)
 	}
 	if choice.Server == nil {
@@ -337,13 +348,13 @@
 // noneFreeRefusal returns the refusal of a call of a service whose servers take no calls
 // before the time free, because of their limits or since they asked for a pause.
 func noneFreeRefusal(now time.Time, w *waiter, pool *core.Pool, free time.Time) *outcome.Refusal {
-	if !pool.HasLimit() {
+	if !pool.HasLimit(&w.work) {
 		return allPausedRefusal(free.Sub(now))
 	}
 	return &outcome.Refusal{
 		Reason: outcome.ReasonServerLimited, End: outcome.NotRun,
 		Detail:     "the backend servers take no more requests per second",
-		RetryAfter: pool.RetryAfterLimit(now, w.call.Deadline.Sub(now)),
+		RetryAfter: pool.RetryAfterLimit(now, &w.work, w.call.Deadline.Sub(now)),
 	}
 }
 
--- a/internal/app/dispatch/exchange_bench_test.go
+++ b/internal/app/dispatch/exchange_bench_test.go
@@ -52,7 +52,7 @@
 			origins := newExchangeFleet(b, 3, perDomain).managers["d0-0"].origins
 			origin := streamorigin.Origin{Service: "llm", SoftwareVersion: "v1"}
 			for i := range b.N {
-				origins.recordFirstEvent(time.Now(), ports.RequestID(fmt.Sprint(i)), origin)
+				origins.recordFirstEvent(time.Now(), ports.RequestID(fmt.Sprint(i)), origin, core.Regions{})
 				if i%2 == 1 {
 					origins.flush()
 				}
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -24,6 +24,7 @@
 	"hawthornstream/internal/core/quarantine"
 	"hawthornstream/internal/core/streamorigin"
 	"hawthornstream/internal/ports"
+	"hawthornstream/internal/settings"
 )
 
 // Module provides ports.SlotBroker, ports.SharingView and ports.ServerNotices.
@@ -50,6 +51,8 @@
 	Configuration ports.ConfigurationSource
 	// List may be missing: each daemon then reads the server list itself.
 	List ports.ServerListFeed `optional:"true"`
+	// Settings name the regions that may be without VMs now.
+	Settings *settings.Settings `optional:"true"`
 }
 
 // Manager implements ports.SlotBroker and ports.ServerNotices. It is safe for concurrent use.
@@ -78,9 +81,13 @@
 	loops          sync.WaitGroup
 
 	// mu guards everything below.
-	mu               sync.Mutex
-	stopping         bool
-	document         *configuration.Document
+	mu       sync.Mutex
+	stopping bool
+	document *configuration.Document
+	// revision is the number of the document, zero before the first.
+	revision configuration.RevisionNumber
+	// knownRegions are the regions of the settings and of all VMs so far.
+	knownRegions     map[ports.Region]bool
 	pools            map[ports.ServiceName]*core.Pool
 	versionHistories map[ports.ServiceName]*streamorigin.VersionHistory
 	notices          *core.Notices
@@ -120,6 +127,7 @@
 		pauseSignal:           make(chan struct{}, 1),
 		stop:                  make(chan struct{}),
 		document:              &configuration.Document{},
+		knownRegions:          regionsInSettings(p.Settings),
 		pools:                 make(map[ports.ServiceName]*core.Pool),
 		versionHistories:      make(map[ports.ServiceName]*streamorigin.VersionHistory),
 		notices:               core.NewNotices(),
@@ -202,13 +210,16 @@
 func (m *Manager) refresh() {
 	current := m.configuration.Current()
 	self := m.directory.Self()
+	daemons := m.directory.Daemons()
 	isFresh := m.lists.isFresh(time.Now())
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.observeRegions(daemons)
 	if current == nil {
 		return
 	}
-	m.document = &current.Document
+	isNew := m.revision != current.Number
+	m.document, m.revision = &current.Document, current.Number
 	for name, service := range m.document.Services {
 		pool, ok := m.pools[name]
 		if !ok {
@@ -226,9 +237,13 @@
 		}
 		servers := m.directory.Servers(name)
 		m.logServerChanges(name, pool.VMs(), servers)
+		m.observeRegions(servers)
 		pool.SetServers(servers)
 		pool.ApplyNotices(m.notices)
 	}
+	if isNew {
+		m.logUnknownRegions()
+	}
 	now := time.Now()
 	m.updateLimits(now)
 	m.observeVersions(now, isFresh)
--- a/internal/app/dispatch/notices.go
+++ b/internal/app/dispatch/notices.go
@@ -51,8 +51,8 @@
 }
 
 // RecordPushback implements ports.ServerNotices.
-func (m *Manager) RecordPushback(server ports.VM, pause time.Duration) time.Duration {
-	untilFree := m.applyPause(time.Now(), server, pause)
+func (m *Manager) RecordPushback(call *ports.Call, server ports.VM, pause time.Duration) time.Duration {
+	untilFree := m.applyPause(time.Now(), call, server, pause)
 	m.signalPause()
 	m.pushbackCounter.Inc(string(server.Service))
 	if m.limiter.Allow(eventPushback, string(server.Service)) {
@@ -65,9 +65,9 @@
 	return core.RetryAfterPause(untilFree, rand.Float64())
 }
 
-// applyPause returns the time until a server of the same service takes calls, zero if
-// one does so now or none is left.
-func (m *Manager) applyPause(now time.Time, server ports.VM, pause time.Duration) time.Duration {
+// applyPause returns the time until a server of the same service in the call's regions
+// takes calls, zero if one does so now or none is left.
+func (m *Manager) applyPause(now time.Time, call *ports.Call, server ports.VM, pause time.Duration) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.applyNotices(now, m.notices.RecordPause(now, server, pause))
@@ -75,7 +75,8 @@
 	if !ok {
 		return 0
 	}
-	free, found := pool.EarliestFree(now, nil)
+	work := core.WorkIn(core.AllowedRegions(core.CurrentRegionLists(call, m.revision, m.document)))
+	free, found := pool.EarliestFree(now, &work)
 	if !found {
 		return 0
 	}
--- a/internal/app/dispatch/notices_test.go
+++ b/internal/app/dispatch/notices_test.go
@@ -74,7 +74,7 @@
 	for waiterCount(m) == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	if retryAfter := m.RecordPushback(onlyServer(), pause); retryAfter < pause-time.Minute {
+	if retryAfter := m.RecordPushback(newEngineCall("w1"), onlyServer(), pause); retryAfter < pause-time.Minute {
 		t.Errorf("the call that was turned away may come back after %s", retryAfter)
 	}
 	_, later := m.Acquire(context.Background(), newEngineCall("w1"))
@@ -107,7 +107,7 @@
 	defer m.Stop()
 	const pause = 150 * time.Millisecond
 	recordedAt := time.Now()
-	m.RecordPushback(onlyServer(), pause)
+	m.RecordPushback(newEngineCall("w1"), onlyServer(), pause)
 	slot, err := m.Acquire(context.Background(), newEngineCall("w1"))
 	if err != nil {
 		t.Fatal(err)
@@ -124,7 +124,7 @@
 	if wait := m.untilNextFree(time.Now()); wait < maxPauseCheckPeriod {
 		t.Errorf("wakes after %s without a pause", wait)
 	}
-	m.RecordPushback(onlyServer(), time.Minute)
+	m.RecordPushback(newEngineCall("w1"), onlyServer(), time.Minute)
 	if wait := m.untilNextFree(time.Now()); wait > time.Minute+resolveInterval || wait < 50*time.Second {
 		t.Errorf("wakes after %s of a pause of a minute", wait)
 	}
--- a/internal/app/dispatch/origins.go
+++ b/internal/app/dispatch/origins.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	core "hawthornstream/internal/core/dispatch"
 	"hawthornstream/internal/core/placement"
 	"hawthornstream/internal/core/streamorigin"
 	"hawthornstream/internal/ports"
@@ -46,6 +47,8 @@
 type pendingOrigin struct {
 	attempt ports.RequestID
 	origin  streamorigin.Origin
+	// regions are those in which the call may run; the origin is recorded there only.
+	regions core.Regions
 }
 
 func newOriginExchange(directory ports.Directory, transport ports.PeerTransport) *originExchange {
@@ -73,10 +76,12 @@
 }
 
 // recordFirstEvent records where a stream began whose first event reaches the caller.
-func (o *originExchange) recordFirstEvent(now time.Time, attempt ports.RequestID, origin streamorigin.Origin) {
+func (o *originExchange) recordFirstEvent(
+	now time.Time, attempt ports.RequestID, origin streamorigin.Origin, regions core.Regions,
+) {
 	o.mu.Lock()
 	o.table.Record(now, streamorigin.KeyOf(attempt), origin)
-	o.pending = append(o.pending, pendingOrigin{attempt: attempt, origin: origin})
+	o.pending = append(o.pending, pendingOrigin{attempt: attempt, origin: origin, regions: regions})
 	o.mu.Unlock()
 	select {
 	case o.recorded <- struct{}{}:
@@ -125,7 +130,7 @@
 	self, hash := o.directory.Self(), o.currentHash()
 	attempts := make(map[ports.DaemonID]map[streamorigin.Origin][]uint64)
 	for _, p := range pending {
-		for _, home := range streamorigin.Homes(self, hash, p.attempt) {
+		for _, home := range streamorigin.Homes(self, hash, p.attempt, p.regions.Allows) {
 			if attempts[home] == nil {
 				attempts[home] = make(map[streamorigin.Origin][]uint64)
 			}
--- a/internal/app/dispatch/resumption.go
+++ b/internal/app/dispatch/resumption.go
@@ -75,7 +75,7 @@
 	}
 	m.origins.recordFirstEvent(now, call.ID, streamorigin.Origin{
 		Service: call.Service, SoftwareVersion: server.SoftwareVersion,
-	})
+	}, m.regionsOf(call))
 }
 
 func versionGoneRefusal(detail string) *outcome.Refusal {
--- a/internal/app/dispatch/resumption_test.go
+++ b/internal/app/dispatch/resumption_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	core "hawthornstream/internal/core/dispatch"
 	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/core/streamorigin"
 	"hawthornstream/internal/ports"
@@ -21,7 +22,7 @@
 	for i := range 40 {
 		recorder.recordFirstEvent(time.Now(), ports.RequestID(fmt.Sprint(i)), streamorigin.Origin{
 			Service: "llm", SoftwareVersion: versions[i%2],
-		})
+		}, core.Regions{})
 	}
 	recorder.flush()
 	f.stopped["d0-0"], f.stopped["d0-1"] = true, true
@@ -78,7 +79,7 @@
 	for i := range streams {
 		m.origins.recordFirstEvent(time.Now(), ports.RequestID(fmt.Sprint("first-", i)), streamorigin.Origin{
 			Service: "llm", SoftwareVersion: "v1",
-		})
+		}, core.Regions{})
 	}
 	var mu sync.Mutex
 	var began, resumed int
@@ -137,7 +138,7 @@
 	for name, c := range cases {
 		m := newTestManager(t, twoVersions()...)
 		if c.recorded.Service != "" {
-			m.origins.recordFirstEvent(time.Now(), "first", c.recorded)
+			m.origins.recordFirstEvent(time.Now(), "first", c.recorded, core.Regions{})
 		}
 		_, err := m.Acquire(context.Background(), newResumption("again", "first"))
 		if refusal := mustBeRefusal(t, err); refusal.Reason != c.reason || refusal.RetryAfter <= 0 {
--- a/internal/core/dispatch/limits.go
+++ b/internal/core/dispatch/limits.go
@@ -221,16 +221,18 @@
 	return count
 }
 
-// HasLimit reports whether a server of the pool names a limit and isn't leaving.
-func (p *Pool) HasLimit() bool {
-	return p.limitSum() > 0
+// HasLimit reports whether a server of the work's regions names a limit and isn't leaving.
+// A nil work stands for any.
+func (p *Pool) HasLimit(work *Work) bool {
+	return p.limitSum(work) > 0
 }
 
-// limitSum returns the sum of the limits of the servers, in requests per second.
-func (p *Pool) limitSum() float64 {
+// limitSum returns the sum of the limits of the servers in the work's regions, in requests
+// per second.
+func (p *Pool) limitSum(work *Work) float64 {
 	sum := 0.0
 	for _, server := range p.servers {
-		if server.allowance != nil && !server.isLeaving() {
+		if server.allowance != nil && !server.isLeaving() && (work == nil || work.regions.Allows(server.vm.Region)) {
 			sum += max(server.allowance.limit, minLimit)
 		}
 	}
@@ -244,8 +246,8 @@
 // told of the next free place, they would return together for it. Each is therefore told a
 // time of its own: the daemons together let as many return per second as the servers take.
 // A caller whose time comes after its deadline won't return, and takes no place.
-func (p *Pool) RetryAfterLimit(now time.Time, remaining time.Duration) time.Duration {
-	rate := max(p.limitSum()/float64(max(p.daemons, 1)), minReturnRate)
+func (p *Pool) RetryAfterLimit(now time.Time, work *Work, remaining time.Duration) time.Duration {
+	rate := max(p.limitSum(work)/float64(max(p.daemons, 1)), minReturnRate)
 	next := now
 	if p.nextReturn.After(now) {
 		next = p.nextReturn
--- a/internal/core/dispatch/limits_test.go
+++ b/internal/core/dispatch/limits_test.go
@@ -332,7 +332,7 @@
 	pool := f.daemons[0].pool
 	returnsBySecond := make(map[int]int)
 	for i := range 500 {
-		after := pool.RetryAfterLimit(f.now.Add(time.Duration(i)*2*time.Millisecond), remaining)
+		after := pool.RetryAfterLimit(f.now.Add(time.Duration(i)*2*time.Millisecond), nil, remaining)
 		if after < remaining {
 			returnsBySecond[int((time.Duration(i)*2*time.Millisecond+after).Seconds())]++
 		}
--- a/internal/core/dispatch/load.go
+++ b/internal/core/dispatch/load.go
@@ -33,6 +33,8 @@
 	// for any.
 	SoftwareVersion string
 
+	// regions are those in which the call may run.
+	regions Regions
 	// isLongPrompt is set by the pool.
 	isLongPrompt bool
 }
@@ -42,7 +44,7 @@
 	work := Work{
 		Class: call.Class, FirstTokenWithin: call.FirstTokenBy.Sub(call.Arrived), PauseWithin: call.PauseWithin,
 		FailedServers: call.FailedServers, Resumes: call.LastEventID > 0 && len(call.FailedServers) > 0,
-		SoftwareVersion: call.SoftwareVersion,
+		SoftwareVersion: call.SoftwareVersion, regions: AllowedRegions(call.Regions),
 	}
 	if prompt := call.Prompt; prompt != nil {
 		work.ForEngine = true
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -246,7 +246,7 @@
 ) Choice {
 	choice := Choice{Server: server, tokensToRead: work.UniqueTokens, totalCost: server.linkCost()}
 	if preferredServers.prefix != 0 {
-		choice.CacheHolder = p.prefixes.cacheHolder(now, preferredServers.prefix, server)
+		choice.CacheHolder = p.prefixes.cacheHolder(now, preferredServers.prefix, server, work.regions)
 		switch {
 		case p.prefixes.isCachedOn(now, preferredServers.prefix, server):
 		case choice.CacheHolder != nil:
--- a/internal/core/dispatch/preferred.go
+++ b/internal/core/dispatch/preferred.go
@@ -19,7 +19,7 @@
 	}
 	preferred.servers = p.preferredBuffer[:0]
 	for _, server := range p.servers {
-		if !server.isLeaving() && !server.health.onProbation && server.takesLongPrompts == work.isLongPrompt {
+		if !server.isLeaving() && work.regions.Allows(server.vm.Region) && !server.health.onProbation && server.takesLongPrompts == work.isLongPrompt {
 			preferred.consider(server)
 		}
 	}
--- a/internal/core/dispatch/prefixes.go
+++ b/internal/core/dispatch/prefixes.go
@@ -70,15 +70,15 @@
 	return false
 }
 
-// cacheHolder returns the server other than except that used the prefix last
-// and still accepts calls, or nil.
-func (t *prefixTable) cacheHolder(now time.Time, prefix PrefixHash, except *Server) *Server {
+// cacheHolder returns the server of the regions other than except that used the prefix
+// last and still accepts calls, or nil.
+func (t *prefixTable) cacheHolder(now time.Time, prefix PrefixHash, except *Server, regions Regions) *Server {
 	var best *prefixLocation
 	locations := t.locations[prefix]
 	for i := range locations {
 		location := &locations[i]
 		if location.server == except || now.Sub(location.usedAt) >= cacheLifetime ||
-			location.server.removed || location.server.health.onProbation {
+			location.server.removed || location.server.health.onProbation || !regions.Allows(location.server.vm.Region) {
 			continue
 		}
 		if best == nil || location.usedAt.After(best.usedAt) {
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -110,7 +110,7 @@
 // mayRun reports whether the server may run the call once its health and its pause
 // permit it.
 func (s *Server) mayRun(work *Work) bool {
-	return !s.isLeaving() && !slices.Contains(work.FailedServers, s.vm.Name) &&
+	return !s.isLeaving() && work.regions.Allows(s.vm.Region) && !slices.Contains(work.FailedServers, s.vm.Name) &&
 		(work.SoftwareVersion == "" || work.SoftwareVersion == s.vm.SoftwareVersion)
 }
 
--- a/internal/core/outcome/reason.go
+++ b/internal/core/outcome/reason.go
@@ -31,6 +31,8 @@
 	ReasonServerOverloaded       Reason = "backend-server-overloaded"
 	ReasonServerLeaving          Reason = "backend-server-leaving"
 	ReasonServerLimited          Reason = "backend-server-limited" // the servers take no more requests per second
+	ReasonNoAllowedRegion        Reason = "no-allowed-region"      // the route and the workspace allow no known region
+	ReasonRegionsUnavailable     Reason = "regions-unavailable"    // no server of the allowed regions takes calls
 	ReasonServerFailed           Reason = "backend-server-failed"
 	ReasonFairShareExceeded      Reason = "fair-share-exceeded" // the workspace uses more than its fair share
 	ReasonConnectionBroken       Reason = "connection-broken"
--- a/internal/core/streamorigin/homes.go
+++ b/internal/core/streamorigin/homes.go
@@ -1,6 +1,8 @@
 package streamorigin
 
 import (
+	"slices"
+
 	"hawthornstream/internal/core/placement"
 	"hawthornstream/internal/ports"
 )
@@ -13,15 +15,29 @@
 // Homes returns the daemons, at most two, at which the daemon self records the origin of
 // the stream that an attempt began. One is in its own failure domain, where most callers
 // return to, and one in another domain, preferably of the same region, so that the loss
-// of a domain leaves a record.
-func Homes(self ports.VM, hash *placement.RendezvousHash, attempt ports.RequestID) []ports.DaemonID {
-	candidates := hash.HighestInDomains(string(attempt), candidatesPerDomain)
+// of a domain leaves a record. Only regions that allows returns true for have homes; if
+// that of self has none, the two are in different domains where possible.
+func Homes(
+	self ports.VM, hash *placement.RendezvousHash, attempt ports.RequestID, allows func(ports.Region) bool,
+) []ports.DaemonID {
+	candidates := slices.DeleteFunc(hash.HighestInDomains(string(attempt), candidatesPerDomain),
+		func(vm ports.VM) bool { return !allows(vm.Region) })
 	var homes []ports.VM
 	preferences := []func(ports.VM) bool{
 		func(vm ports.VM) bool { return vm.Domain == self.Domain },
 		func(vm ports.VM) bool { return vm.Domain != self.Domain && vm.Region == self.Region },
 		func(vm ports.VM) bool { return vm.Region != self.Region },
 	}
+	if !allows(self.Region) {
+		var first ports.FailureDomain
+		if len(candidates) > 0 {
+			first = candidates[0].Domain
+		}
+		preferences = []func(ports.VM) bool{
+			func(vm ports.VM) bool { return vm.Domain == first },
+			func(vm ports.VM) bool { return vm.Domain != first },
+		}
+	}
 	for _, isPreferred := range preferences {
 		homes = appendFirst(homes, self, candidates, isPreferred)
 	}
--- a/internal/core/streamorigin/homes_test.go
+++ b/internal/core/streamorigin/homes_test.go
@@ -34,7 +34,7 @@
 		for number := range 20 {
 			attempt := ports.RequestID(fmt.Sprint("attempt-", number))
 			recorder := all[number%count]
-			homes := Homes(recorder, placement.NewRendezvousHash(all), attempt)
+			homes := Homes(recorder, placement.NewRendezvousHash(all), attempt, everywhere)
 			losses := map[string]func(ports.VM) bool{
 				"the recorder":       func(vm ports.VM) bool { return vm.Name == recorder.Name },
 				"its failure domain": func(vm ports.VM) bool { return vm.Domain == recorder.Domain },
@@ -67,7 +67,7 @@
 func TestHomesStayInTheRegion(t *testing.T) {
 	all := fleetOf(9)
 	for number := range 50 {
-		homes := Homes(all[0], placement.NewRendezvousHash(all), ports.RequestID(fmt.Sprint(number)))
+		homes := Homes(all[0], placement.NewRendezvousHash(all), ports.RequestID(fmt.Sprint(number)), everywhere)
 		if len(homes) != 2 {
 			t.Fatalf("got %v", homes)
 		}
@@ -79,3 +79,38 @@
 		}
 	}
 }
+
+func everywhere(ports.Region) bool { return true }
+
+// The origins of streams that may run in one region stay there, in different failure
+// domains, wherever the caller has connected.
+func TestHomesLieInAllowedRegions(t *testing.T) {
+	all := fleetOf(24)
+	for _, allowed := range []ports.Region{all[0].Region, all[len(all)-1].Region} {
+		allows := func(region ports.Region) bool { return region == allowed }
+		domains := make(map[ports.FailureDomain]bool)
+		for _, vm := range all {
+			if allows(vm.Region) {
+				domains[vm.Domain] = true
+			}
+		}
+		for number, recorder := range all {
+			homes := Homes(recorder, placement.NewRendezvousHash(all), ports.RequestID(fmt.Sprint(number)), allows)
+			used := make(map[ports.FailureDomain]bool)
+			for _, name := range homes {
+				home := all[slices.IndexFunc(all, func(vm ports.VM) bool { return vm.Name == name })]
+				if !allows(home.Region) {
+					t.Errorf("%s records at %s in %s", recorder.Name, name, home.Region)
+				}
+				used[home.Domain] = true
+			}
+			if len(homes) != 2 || len(used) != min(2, len(domains)) {
+				t.Errorf("%s has homes %v", recorder.Name, homes)
+			}
+		}
+	}
+	none := Homes(all[0], placement.NewRendezvousHash(all), "a", func(ports.Region) bool { return false })
+	if len(none) > 0 {
+		t.Errorf("homes %v although no region is allowed", none)
+	}
+}
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -20,6 +20,8 @@
 	Class     ClassName
 	// Route is the route that the call matched; empty without routes.
 	Route RouteName
+	// Regions are the regions in which the call may run.
+	Regions RegionLists
 	// Arrived is when the daemon received the request. Deadlines and waiting
 	// times count from it.
 	Arrived time.Time
@@ -84,6 +86,14 @@
 	MayAbandonSilent func(silence time.Duration) bool
 }
 
+// RegionLists are the regions that the route and the workspace of a call allow. An empty
+// list allows all; where both name some, both bind.
+type RegionLists struct {
+	Route, Workspace []Region
+	// AsOf is the configuration that the lists are from.
+	AsOf configuration.RevisionNumber
+}
+
 // IsResumption reports whether the call continues a stream of which the caller has
 // received events.
 func (c *Call) IsResumption() bool {
@@ -277,9 +287,9 @@
 	RecordLeaving(server VM)
 	// RecordPushback records that the server turned a call away and asked for a pause:
 	// it gets no calls until the pause has ended. RecordPushback returns the time after
-	// which the caller should retry, when a server of the service is free again; zero
-	// if one is free now.
-	RecordPushback(server VM, pause time.Duration) time.Duration
+	// which the caller should retry, when a server that may run the call is free again;
+	// zero if one is free now.
+	RecordPushback(call *Call, server VM, pause time.Duration) time.Duration
 	// RecordLimit records what an answer to a request that was sent at sentAt says about
 	// the requests that the server takes.
 	RecordLimit(server VM, sentAt time.Time, limit ServerLimit)
