WARMUP: bound the requests of cold backend servers over the whole fleet

A cold server bears a few requests per second, from all daemons together. The limits that servers name are such a rate already: LimitSharing divides a RateBound, which both give, and one allowance per server holds the stricter one. A server is cold by its entry, by its start, when it joins the list and after it failed a call; each daemon lifts the bound at a moment of its own.

--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -253,6 +253,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.observeVersions(now, isFresh)
+	m.setListFresh(now, isFresh)
 	m.updateLimits(now)
 	m.resolveWaiters(now)
 	m.logShares(now)
--- a/internal/app/dispatch/limits.go
+++ b/internal/app/dispatch/limits.go
@@ -49,13 +49,14 @@
 	return pool.ShareOfLimit(server.Name)
 }
 
-// updateLimits divides the limits between the daemons that are known now. The caller holds
-// the mutex.
+// updateLimits divides the limits of servers, and the rates that cold ones bear, between
+// the daemons that are known now. The caller holds the mutex.
 func (m *Manager) updateLimits(now time.Time) {
 	m.limitSharing.Update(now, m.directory.Daemons())
 	limited := 0
-	for _, pool := range m.pools {
+	for service, pool := range m.pools {
 		pool.ApplyLimits(now, m.notices, m.limitSharing)
+		m.recordWarmthChanges(service, pool.TakeWarmthChanges())
 		limited += pool.LimitedServers()
 	}
 	m.limitedServers.Store(int32(limited))
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -24,6 +24,7 @@
 	"hawthornstream/internal/core/quarantine"
 	"hawthornstream/internal/core/streamorigin"
 	"hawthornstream/internal/ports"
+	"hawthornstream/internal/settings"
 )
 
 // Module provides ports.SlotBroker, ports.SharingView and ports.ServerNotices.
@@ -50,6 +51,8 @@
 	Configuration ports.ConfigurationSource
 	// List may be missing: each daemon then reads the server list itself.
 	List ports.ServerListFeed `optional:"true"`
+	// Settings may be missing: cold servers then bear no more than their warm-up rate.
+	Settings *settings.Settings `optional:"true"`
 }
 
 // Manager implements ports.SlotBroker and ports.ServerNotices. It is safe for concurrent use.
@@ -62,11 +65,13 @@
 	leavingCounter        *metrics.CounterVec
 	pushbackCounter       *metrics.CounterVec
 	limitCounter          *metrics.CounterVec
+	warmthCounter         *metrics.CounterVec
 	quarantineCounter     *metrics.CounterVec
 	callQuarantineCounter *metrics.CounterVec
 	directory             ports.Directory
 	transport             ports.PeerTransport
 	configuration         ports.ConfigurationSource
+	warmUp                settings.WarmUp
 	lists                 *listExchange
 	origins               *originExchange
 	changeSignal          chan struct{}
@@ -109,11 +114,13 @@
 		leavingCounter:        metrics.NewCounterVec(scope, "servers_leaving", "service"),
 		pushbackCounter:       metrics.NewCounterVec(scope, "server_pushbacks", "service"),
 		limitCounter:          metrics.NewCounterVec(scope, "server_limit_changes", "service", "change"),
+		warmthCounter:         metrics.NewCounterVec(scope, "server_warmth_changes", "service", "state", "reason"),
 		quarantineCounter:     metrics.NewCounterVec(scope, "prompt_parts_quarantined", "source"),
 		callQuarantineCounter: metrics.NewCounterVec(scope, "calls_quarantined", "source"),
 		directory:             p.Directory,
 		transport:             p.Transport,
 		configuration:         p.Configuration,
+		warmUp:                warmUpSettings(p.Settings),
 		lists:                 newListExchange(p.List),
 		origins:               newOriginExchange(p.Directory, p.Transport),
 		changeSignal:          make(chan struct{}, 1),
@@ -216,6 +223,7 @@
 			m.pools[name] = pool
 		}
 		pool.SetService(service.Kind == configuration.ServiceKindEngine, service.MemoryTokens)
+		pool.SetWarmUp(m.warmUpOf(&service))
 	}
 	for name, pool := range m.pools {
 		// The calls in progress of a service that has left the configuration may need
@@ -230,6 +238,7 @@
 		pool.ApplyNotices(m.notices)
 	}
 	now := time.Now()
+	m.setListFresh(now, isFresh)
 	m.updateLimits(now)
 	m.observeVersions(now, isFresh)
 	m.resolveWaiters(now)
--- a/internal/app/dispatch/status.go
+++ b/internal/app/dispatch/status.go
@@ -19,6 +19,7 @@
 				status.Queued[w.call.Workspace]++
 			}
 		}
+		status.Cold = m.pools[name].ColdServers()
 		for _, server := range m.pools[name].Servers() {
 			status.Running += server.OwnLoad().Calls
 		}
--- a/internal/core/dispatch/latency.go
+++ b/internal/core/dispatch/latency.go
@@ -87,6 +87,15 @@
 	}
 }
 
+// assumeSlow raises the times to those of a cold server, until measurements replace them
+// or they decay.
+func (m *latencyModel) assumeSlow(now time.Time) {
+	base, perToken := m.decayed(now)
+	m.baseSeconds = max(base, coldSlowdown*m.defaultBaseSeconds)
+	m.perTokenSeconds = max(perToken, coldSlowdown*m.defaultPerTokenSeconds)
+	m.sampledAt = now
+}
+
 // observeRun records the duration of a whole call.
 func (m *latencyModel) observeRun(elapsed time.Duration) {
 	m.runSeconds = movingAverage(m.runSeconds, elapsed.Seconds())
--- a/internal/core/dispatch/limits.go
+++ b/internal/core/dispatch/limits.go
@@ -123,40 +123,58 @@
 	return updates
 }
 
-// allowance is what this daemon may send to a server that named a limit.
+// limitBound returns the bound of a server that names a limit.
+func limitBound(limit float64) RateBound {
+	return RateTolerance{Factor: limitTolerance, Excess: limitExcess, Window: limitWindow}.Bound(max(limit, minLimit))
+}
+
+// allowance is what this daemon may send to a server whose requests are bounded.
 type allowance struct {
 	bucket
-	limit   float64
+	bound   RateBound
 	share   LimitShare
 	version int
 }
 
-// ApplyLimits makes the limits of the pool's servers take effect. A server that names a
-// limit for the first time has had its requests already: its allowance begins empty.
+// ApplyLimits makes the limits of the pool's servers and the bounds of cold ones take
+// effect.
 func (p *Pool) ApplyLimits(now time.Time, notices *Notices, sharing *LimitSharing) {
 	p.daemons = sharing.daemonCount()
+	p.updateWarmth(now)
 	for _, server := range p.servers {
-		recorded := notices.byInstance[instanceOf(server.vm)].limit.limit
-		if !recorded.IsSet {
+		named := notices.byInstance[instanceOf(server.vm)].limit.limit
+		server.namesLimit = named.IsSet
+		switch isBounded := server.isCold && p.warmUp.isBounded(); {
+		case named.IsSet && isBounded:
+			server.setBound(now, limitBound(named.RequestsPerSecond).stricter(p.warmUp.bound()), sharing)
+		case named.IsSet:
+			server.setBound(now, limitBound(named.RequestsPerSecond), sharing)
+		case isBounded:
+			server.setBound(now, p.warmUp.bound(), sharing)
+		default:
 			server.allowance = nil
-			continue
-		}
-		a := server.allowance
-		if a == nil {
-			a = &allowance{bucket: bucket{updatedAt: now}}
-			server.allowance = a
-		}
-		if a.limit == recorded.RequestsPerSecond && a.version == sharing.version {
-			continue
 		}
-		a.refill(now, a.share.Rate, a.share.Burst)
-		a.limit, a.version = recorded.RequestsPerSecond, sharing.version
-		a.share = sharing.ShareOf(server.vm, a.limit)
 	}
 }
 
+// setBound sets the bound on the server's requests. A server that had none has had its
+// requests already: its allowance begins empty.
+func (s *Server) setBound(now time.Time, bound RateBound, sharing *LimitSharing) {
+	a := s.allowance
+	if a == nil {
+		a = &allowance{bucket: bucket{updatedAt: now}}
+		s.allowance = a
+	}
+	if a.bound == bound && a.version == sharing.version {
+		return
+	}
+	a.refill(now, a.share.Rate, a.share.Burst)
+	a.bound, a.version = bound, sharing.version
+	a.share = sharing.ShareOf(s.vm, bound)
+}
+
 // freeAt returns the time from which the server takes calls of this daemon, as far as its
-// pause and its limit tell; a time before now if it does so now.
+// pause and the bound on its requests tell; a time before now if it does so now.
 func (s *Server) freeAt(now time.Time) time.Time {
 	if s.allowance == nil {
 		return s.pausedUntil
@@ -181,7 +199,7 @@
 }
 
 // hasWholeAllowance reports whether no request was sent for so long that the server's
-// allowance is whole, or that it names no limit.
+// allowance is whole, or that its requests are not bounded.
 func (s *Server) hasWholeAllowance() bool {
 	return s.allowance == nil || s.allowance.credit >= s.allowance.share.Burst
 }
@@ -193,7 +211,7 @@
 	}
 }
 
-// ReturnUnsent gives back what a call that was not sent took of its server's limit.
+// ReturnUnsent gives back what a call that was not sent took of its server's allowance.
 func (b *Booking) ReturnUnsent() {
 	if b.server.allowance != nil {
 		b.server.allowance.credit++
@@ -204,7 +222,7 @@
 // names none.
 func (p *Pool) ShareOfLimit(server ports.VMName) (LimitShare, bool) {
 	s := p.findServer(server)
-	if s == nil || s.allowance == nil {
+	if s == nil || !s.namesLimit {
 		return LimitShare{}, false
 	}
 	return s.allowance.share, true
@@ -214,31 +232,32 @@
 func (p *Pool) LimitedServers() int {
 	count := 0
 	for _, server := range p.servers {
-		if server.allowance != nil {
+		if server.namesLimit {
 			count++
 		}
 	}
 	return count
 }
 
-// HasLimit reports whether a server of the pool names a limit and isn't leaving.
+// HasLimit reports whether the requests of a server of the pool are bounded that isn't
+// leaving.
 func (p *Pool) HasLimit() bool {
 	return p.limitSum() > 0
 }
 
-// limitSum returns the sum of the limits of the servers, in requests per second.
+// limitSum returns the sum of the bounds of the servers, in requests per second.
 func (p *Pool) limitSum() float64 {
 	sum := 0.0
 	for _, server := range p.servers {
 		if server.allowance != nil && !server.isLeaving() {
-			sum += max(server.allowance.limit, minLimit)
+			sum += server.allowance.bound.Rate
 		}
 	}
 	return sum
 }
 
 // RetryAfterLimit returns the time after which a caller should retry that was refused
-// because of the servers' limits, given the time until its deadline.
+// because the requests of all servers are bounded, given the time until its deadline.
 //
 // Load pattern: far more callers are refused than the servers take per second. If all were
 // told of the next free place, they would return together for it. Each is therefore told a
@@ -259,7 +278,7 @@
 }
 
 // UsableCapacity returns what is left of the configured capacity of all engines, in tokens
-// per second, while some of them name limits.
+// per second, while the requests of some are bounded.
 //
 // Load pattern: limited engines run a fraction of the calls that they could. By the
 // configured capacity every workspace would be within its fair share, and those with the
@@ -275,7 +294,7 @@
 	for _, pool := range pools {
 		for _, server := range pool.servers {
 			if pool.isEngine && server.allowance != nil {
-				lost += max(perEngine-max(server.allowance.limit, minLimit)*pool.meanTokens, 0)
+				lost += max(perEngine-server.allowance.bound.Rate*pool.meanTokens, 0)
 			}
 		}
 	}
--- a/internal/core/dispatch/limitshare.go
+++ b/internal/core/dispatch/limitshare.go
@@ -12,18 +12,11 @@
 )
 
 const (
-	// A server tolerates limitTolerance times its limit, plus limitExcess requests, in
-	// each limitWindow.
+	// A server tolerates limitTolerance times the limit that it names, plus limitExcess
+	// requests, in each limitWindow.
 	limitTolerance = 1.5
 	limitExcess    = 5
 	limitWindow    = 4 * time.Second
-	// burstFraction is the part of the tolerated excess that the senders of a server may
-	// send at once, when none has sent for a while. The rest is for daemons that know the
-	// fleet or the limit late.
-	burstFraction = 0.5
-	// minBurst is the least number of requests that each sender may send at once: more
-	// than one, so that it can leave a part to workspaces within their fair share.
-	minBurst = 1.5
 	// ownDomainFraction is the part of a server's senders in its failure domain, whose
 	// calls take the shortest way. The others are spread over the fleet, so that the
 	// server is used when no callers are left in its domain.
@@ -43,7 +36,7 @@
 	heardFraction     = 0.75
 )
 
-// LimitShare is what one daemon may send to a server that takes a limited number of
+// LimitShare is what one daemon may send to a server that takes a bounded number of
 // requests per second from all daemons together.
 type LimitShare struct {
 	// Rate is in requests per second. It is zero if other daemons send to the server.
@@ -52,8 +45,9 @@
 	Burst float64
 }
 
-// LimitSharing divides the limits of backend servers between the daemons, without
-// messages about who sends.
+// LimitSharing divides the bounds on the requests of backend servers between the daemons,
+// without messages about who sends: the limits that servers name, and the rates that cold
+// servers bear.
 //
 // Load pattern: servers take between one and some ten requests per second from a fleet of
 // up to hundreds of daemons. Neither can each daemon send one request at any time, nor is
@@ -141,18 +135,21 @@
 	return len(s.daemons)
 }
 
-// ShareOf returns this daemon's share of a server's limit in requests per second.
-func (s *LimitSharing) ShareOf(server ports.VM, limit float64) LimitShare {
-	limit = max(limit, minLimit)
-	burst := burstFraction * ((limitTolerance-1)*limit*limitWindow.Seconds() + limitExcess)
-	senders := int(min(max(math.Floor(burst/minBurst), 1), float64(s.daemonCount())))
-	share := LimitShare{Rate: limit / float64(senders), Burst: burst / float64(senders)}
-	if senders < len(s.daemons) && !s.isSender(server, senders) {
+// ShareOf returns this daemon's share of a bound on the requests of a server.
+func (s *LimitSharing) ShareOf(server ports.VM, bound RateBound) LimitShare {
+	senders := int(min(max(math.Floor(bound.Burst/minBurst), 1), float64(s.daemonCount())))
+	share := LimitShare{Rate: bound.Rate / float64(senders), Burst: bound.Burst / float64(senders)}
+	if senders < len(s.daemons) && !s.isSender(server, senders) || bound.RequiresPeers && s.isAlone() {
 		share.Rate = 0
 	}
 	return share
 }
 
+// isAlone reports whether this daemon has just started and knows no other.
+func (s *LimitSharing) isAlone() bool {
+	return len(s.daemons) == 1 && s.isStarting(s.lastUpdate())
+}
+
 // isSender reports whether this daemon is one of the given number of senders of a server.
 func (s *LimitSharing) isSender(server ports.VM, senders int) bool {
 	serverHash := xxhash.Sum64String(string(server.Name))
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -38,6 +38,7 @@
 type Pool struct {
 	isEngine     bool
 	self         ports.VM
+	selfHash     uint64
 	memoryTokens int
 	servers      []*Server
 	prefixes     prefixTable
@@ -48,10 +49,17 @@
 	longPrompts longPromptStats
 	// meanSecondsPerToken is the servers' mean time to read a prompt token.
 	meanSecondsPerToken float64
-	// daemons is the number of daemons that share the servers' limits, and nextReturn the
-	// time given to the last caller that was refused because of them.
+	// daemons is the number of daemons that share the bounds on the servers' requests, and
+	// nextReturn the time given to the last caller that was refused because of them.
 	daemons    int
 	nextReturn time.Time
+	// warmUp is how the servers warm up, and warmthChanges what has changed since
+	// TakeWarmthChanges.
+	warmUp        WarmUp
+	warmthChanges []WarmthChange
+	listFreshness listFreshness
+	// isListed is true once a list with servers was set.
+	isListed bool
 	// preferredBuffer is reused by preferredServers.
 	preferredBuffer []*Server
 }
@@ -60,7 +68,7 @@
 // self.
 func NewPool(self ports.VM) *Pool {
 	return &Pool{
-		self: self, prefixes: newPrefixTable(), queueAllowance: maxQueueAllowance,
+		self: self, selfHash: xxhash.Sum64String(string(self.Name)), prefixes: newPrefixTable(), queueAllowance: maxQueueAllowance,
 		meanSecondsPerToken: defaultEnginePerToken.Seconds(),
 	}
 }
@@ -79,6 +87,7 @@
 		server := p.findServer(vm.Name)
 		if server == nil || server.vm.StartedMillis != vm.StartedMillis || server.isEngine != p.isEngine {
 			server = &Server{isEngine: p.isEngine, latency: newLatencyModel(p.isEngine)}
+			server.joined = p.isListed
 		}
 		server.vm = vm
 		server.distance = distance(p.self, vm)
@@ -89,7 +98,7 @@
 		server.removed = !slices.Contains(next, server)
 	}
 	slices.SortFunc(next, func(a, b *Server) int { return cmp.Compare(a.vm.Name, b.vm.Name) })
-	p.servers = next
+	p.servers, p.isListed = next, p.isListed || len(next) > 0
 	p.assignLongPromptServers()
 }
 
@@ -338,6 +347,7 @@
 		return
 	}
 	b.hasFirstByte = true
+	b.server.recordAnswer(now, b.sentAt)
 	b.removePending()
 	b.server.latency.observeFirstByte(now, b.pendingTokens, now.Sub(b.sentAt))
 }
@@ -365,6 +375,7 @@
 	b.server.ownLoad.MemoryTokens -= b.load.MemoryTokens
 	b.load = Load{}
 	if b.hasFirstByte || fault != ports.ServerFaultNone {
+		b.server.recordFault(now, b.sentAt, fault)
 		b.server.health.recordRun(now, fault)
 	}
 	return healthChangeOf(wasOnProbation, b.server.health.onProbation)
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -41,8 +41,11 @@
 	saidLeaving bool
 	// pausedUntil is when the pause ends that the server asked for.
 	pausedUntil time.Time
-	// allowance is set while the server names a limit.
-	allowance *allowance
+	// allowance is set while the requests of all daemons to the server are bounded, and
+	// namesLimit while it names a limit itself.
+	allowance  *allowance
+	namesLimit bool
+	warmth
 	// removed reports whether the server has left the list.
 	removed bool
 }
--- a/internal/core/serverlist/restore.go
+++ b/internal/core/serverlist/restore.go
@@ -76,7 +76,7 @@
 // era.
 func (t *Table) applyListed(now time.Time, entry Change, known map[ports.VMName]knownServer) {
 	previous, wasListed := t.servers[entry.Name]
-	unchanged := wasListed && entry.VM != nil && previous == *entry.VM
+	unchanged := wasListed && entry.VM != nil && isSameEntry(previous, *entry.VM)
 	_, isOutdated := t.outdated[entry.Name]
 	before, wasKnown := known[entry.Name]
 	switch {
@@ -91,6 +91,13 @@
 	}
 }
 
+// isSameEntry compares two entries of a server. An entry that is read again gives another
+// end of the warm-up, since that follows from the time of the reading.
+func isSameEntry(a, b ports.VM) bool {
+	a.ColdUntil, b.ColdUntil = time.Time{}, time.Time{}
+	return a == b
+}
+
 // supersedes reports whether what was known of a server is later than its entry in an
 // older copy of the store: a later start of it, that it is leaving, or that it is
 // gone.
--- a/internal/core/serverlist/table.go
+++ b/internal/core/serverlist/table.go
@@ -140,6 +140,9 @@
 	list := ports.ServerListPush{Version: t.version.Revision, Era: t.version.Era}
 	for _, vm := range t.servers {
 		list.Servers = append(list.Servers, vm)
+		if left := vm.ColdUntil.Sub(now); left > 0 {
+			list.Cold = append(list.Cold, ports.ColdServer{Name: vm.Name, LeftMillis: left.Milliseconds()})
+		}
 	}
 	for name, until := range t.lapsed {
 		list.Lapsed = append(list.Lapsed, ports.LapsedServer{Name: name, GraceMillis: until.Sub(now).Milliseconds()})
@@ -163,8 +166,13 @@
 	for _, server := range list.Lapsed {
 		lapsed[server.Name] = true
 	}
+	coldUntil := make(map[ports.VMName]time.Time, len(list.Cold))
+	for _, server := range list.Cold {
+		coldUntil[server.Name] = now.Add(time.Duration(server.LeftMillis) * time.Millisecond)
+	}
 	listed := make(map[ports.VMName]bool, len(list.Servers))
 	for _, vm := range list.Servers {
+		vm.ColdUntil = coldUntil[vm.Name]
 		if lapsed[vm.Name] {
 			var isGone bool
 			if vm, isGone = t.latest(vm); isGone {
--- a/internal/ports/dispatch_messages.go
+++ b/internal/ports/dispatch_messages.go
@@ -171,6 +171,8 @@
 	// Outdated are those of Servers whose entries come from an older copy of the
 	// store and contradict what the sender has read before.
 	Outdated []OutdatedServer `cbor:"5,keyasint,omitempty"`
+	// Cold are those of Servers that are cold by their entries.
+	Cold []ColdServer `cbor:"6,keyasint,omitempty"`
 }
 
 // StoreVersion returns the version of the list.
@@ -190,6 +192,13 @@
 	HoldMillis int64 `cbor:"3,keyasint"`
 }
 
+// ColdServer is a backend server that is cold by its entry.
+type ColdServer struct {
+	Name VMName `cbor:"1,keyasint"`
+	// LeftMillis is the time in milliseconds for which it will be cold.
+	LeftMillis int64 `cbor:"2,keyasint"`
+}
+
 // LapsedServer is a backend server whose entry expired and may still be written
 // again.
 type LapsedServer struct {
--- a/internal/ports/status.go
+++ b/internal/ports/status.go
@@ -18,6 +18,8 @@
 	Queued map[WorkspaceID]int `json:"queued"`
 	// Running counts the calls of this daemon that hold a slot.
 	Running int `json:"running"`
+	// Cold counts the backend servers that this daemon takes to be cold.
+	Cold int `json:"cold,omitempty"`
 	// Owned are the shards whose slots this daemon grants.
 	Owned []ShardStatus `json:"owned"`
 	// Levels are the levels (service counters) of the backlogged workspaces: cost
--- a/internal/ports/vm.go
+++ b/internal/ports/vm.go
@@ -1,6 +1,9 @@
 package ports
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // VMKind is what runs on a VM.
 type VMKind string
@@ -31,6 +34,9 @@
 	// SoftwareVersion is the version of a backend server's software; empty if
 	// unknown. Servers of several versions may serve side by side in one service.
 	SoftwareVersion string `json:"softwareVersion,omitempty"`
+	// ColdUntil is until when a backend server says that it is cold; zero if it doesn't.
+	// It is by this daemon's clock: ServerListPush passes it on as a remaining time.
+	ColdUntil time.Time `json:"-"`
 	// Leaving is true once the platform plans to remove the VM.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -99,6 +99,7 @@
 			AnnouncePeriod: configuration.Duration(2 * time.Second),
 		},
 		Retries:      Retries{Ratio: retry.DefaultPolicy().RetryRatio},
+		WarmUp:       WarmUp{Tolerance: 1},
 		Log:          Log{Level: "info"},
 		Experimental: Experimental{ExchangePeriod: configuration.Duration(time.Second)},
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,9 @@
 	Stop Stop `json:"stop"`
 	// Retries is the fleet's retry budget. Optional.
 	Retries Retries `json:"retries,omitzero"`
+	// WarmUp is how far cold backend servers bear more requests than their services'
+	// warm-up rate. Optional.
+	WarmUp WarmUp `json:"warmUp,omitzero"`
 	// Log configures logging.
 	Log Log `json:"log"`
 	// TLS names the certificate and key files. Optional.
@@ -143,6 +146,15 @@
 	MinFleetRetries int `json:"fleetFloor,omitempty" validate:"between=0 1000000"`
 }
 
+// WarmUp is how far a cold backend server bears more requests in one second than its
+// service's warmUpRate, from all daemons together.
+type WarmUp struct {
+	// Tolerance is the factor by which it bears more. Default: 1; 1 to 10.
+	Tolerance float64 `json:"tolerance,omitempty" validate:"between=1 10"`
+	// Excess is the number of requests that it bears beyond that. Default: 0; 0 to 1000.
+	Excess float64 `json:"excess,omitempty" validate:"between=0 1000"`
+}
+
 // Stop bounds a graceful stop.
 type Stop struct {
 	// Timeout is the time after which a graceful stop cuts off calls in progress.
