--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -170,7 +170,7 @@
 type Choice struct {
 	Server *Server
 	// ExpectedFirstByte is the predicted time to the first byte, ExpectedIdle
-	// the same on a server without other load.
+	// the same on a warm server without other load.
 	ExpectedFirstByte, ExpectedIdle time.Duration
 	// CacheHolder is another server that probably has the prompt prefix cached;
 	// nil when there is none or the prompt has no prefix.
@@ -269,7 +269,7 @@
 		}
 	}
 	choice.ExpectedFirstByte = server.predictFirstByte(now, choice.tokensToRead, terms.slotFraction())
-	choice.ExpectedIdle = server.latency.predictFirstByte(now, choice.tokensToRead)
+	choice.ExpectedIdle = server.predictIdle(now, choice.tokensToRead)
 	if !server.hasMemoryFor(p.memoryTokens, work.UniqueTokens+work.OutputTokens) {
 		choice.ExpectedFirstByte += work.FirstTokenWithin
 	}
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -78,6 +78,17 @@
 	return expected
 }
 
+// predictIdle returns the predicted time to the first byte of a call with the given number
+// of prompt tokens to process without other load, if the server were warm.
+func (s *Server) predictIdle(now time.Time, promptTokens int) time.Duration {
+	expected := s.latency.predictFirstByte(now, promptTokens)
+	if !s.isCold {
+		return expected
+	}
+	usual := newLatencyModel(s.isEngine)
+	return min(expected, usual.predictFirstByte(now, promptTokens))
+}
+
 // longestPending returns how long the oldest call without a first byte has
 // waited.
 func (s *Server) longestPending(now time.Time) time.Duration {
--- /dev/null
+++ b/internal/core/dispatch/warmup_test.go
@@ -0,0 +1,404 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"hawthornstream/internal/ports"
+)
+
+// testWarmUp is the warm-up of the services in use: at most coldAllowed requests of all
+// daemons in any second.
+var testWarmUp = WarmUp{Within: 3 * time.Second, Rate: 10, Factor: 1.5, Excess: 5}
+
+const coldAllowed = 20
+
+// coldFleet is a fleet of daemons before the servers of one failure domain, which become
+// cold, and those of two others.
+type coldFleet struct {
+	now     time.Time
+	random  *rand.Rand
+	servers []*coldServer
+	daemons []*coldDaemon
+}
+
+type coldServer struct {
+	vm     ports.VM
+	isDown bool
+	// coldUntil is the true end of the warm-up.
+	coldUntil time.Time
+	// sent are the times at which requests reached the server while it was cold.
+	sent []time.Time
+}
+
+type coldDaemon struct {
+	vm      ports.VM
+	sharing *LimitSharing
+	pool    *Pool
+	alive   []ports.VM
+	// listAt is when the daemon learns of the current list.
+	listAt time.Time
+}
+
+const (
+	coldTick        = 20 * time.Millisecond
+	coldUpdateTicks = 15
+	// returningServers is the number of servers in the failure domain that returns.
+	returningServers = 4
+	// maxListDelay is the longest time in which a list reaches all daemons.
+	maxListDelay = time.Second
+)
+
+func newColdFleet(count int) *coldFleet {
+	f := &coldFleet{now: start, random: rand.New(rand.NewPCG(uint64(count), 7))}
+	for i := range 3 * returningServers {
+		f.servers = append(f.servers, &coldServer{vm: ports.VM{
+			Name: ports.VMName(fmt.Sprint("s", i)), Domain: ports.FailureDomain(fmt.Sprint("z", i%3)), Slots: 64, StartedMillis: 1,
+		}})
+	}
+	for i := range count {
+		f.daemons = append(f.daemons, f.newDaemon(limitDaemonVM(i)))
+	}
+	f.connectAll()
+	f.run(startupPeriod+time.Second, 1)
+	return f
+}
+
+func (f *coldFleet) newDaemon(vm ports.VM) *coldDaemon {
+	d := &coldDaemon{vm: vm, sharing: NewLimitSharing(f.now, vm), pool: NewPool(vm)}
+	d.pool.SetWarmUp(testWarmUp)
+	f.update(d)
+	return d
+}
+
+func (f *coldFleet) connectAll() {
+	var all []ports.VM
+	for _, d := range f.daemons {
+		all = append(all, d.vm)
+	}
+	for _, d := range f.daemons {
+		d.alive = all
+	}
+}
+
+// update does what a daemon does at intervals.
+func (f *coldFleet) update(d *coldDaemon) {
+	if !f.now.Before(d.listAt) {
+		var vms []ports.VM
+		for _, server := range f.servers {
+			vms = append(vms, server.vm)
+		}
+		d.pool.SetServers(vms)
+	}
+	d.pool.SetListFresh(f.now, true)
+	d.sharing.Update(f.now, d.alive)
+	d.pool.ApplyLimits(f.now, NewNotices(), d.sharing)
+}
+
+// publish lets the daemons learn of the current entries, each at a time of its own.
+func (f *coldFleet) publish() {
+	for _, d := range f.daemons {
+		d.listAt = f.now.Add(time.Duration(f.random.Float64() * float64(maxListDelay)))
+	}
+}
+
+// returning calls f for the servers of the failure domain that returns.
+func (f *coldFleet) returning(change func(*coldServer)) {
+	for _, server := range f.servers {
+		if server.vm.Domain == "z0" {
+			change(server)
+		}
+	}
+}
+
+// makeKnownCold makes the servers cold, and lets all daemons learn of it, before there are
+// calls.
+func (f *coldFleet) makeKnownCold(duration time.Duration) {
+	f.makeCold(duration, false)
+	f.publish()
+	f.run(2*maxListDelay, 0)
+}
+
+// makeCold makes the servers cold for the given time.
+func (f *coldFleet) makeCold(duration time.Duration, isNewStart bool) {
+	f.returning(func(s *coldServer) {
+		s.isDown, s.coldUntil, s.vm.ColdUntil = false, f.now.Add(duration), f.now.Add(duration)
+		if isNewStart {
+			s.vm.StartedMillis++
+		}
+	})
+}
+
+// run simulates a time with the given number of calls per second at each daemon.
+func (f *coldFleet) run(duration time.Duration, callsPerSecond float64) {
+	for end := f.now.Add(duration); f.now.Before(end); f.now = f.now.Add(coldTick) {
+		for _, d := range f.daemons {
+			if f.random.IntN(coldUpdateTicks) == 0 {
+				f.update(d)
+			}
+			if f.random.Float64() < callsPerSecond*coldTick.Seconds() {
+				f.call(d)
+			}
+		}
+	}
+}
+
+func (f *coldFleet) call(d *coldDaemon) {
+	work := &Work{FirstTokenWithin: time.Second, PrefixID: fmt.Sprint(f.random.IntN(1000)), PrefixTokens: 10}
+	choice, ok := d.pool.Choose(f.now, work, AdmissionTerms{AlwaysAdmit: true})
+	if !ok {
+		return
+	}
+	booking := d.pool.Book(f.now, choice, work)
+	for _, server := range f.servers {
+		if server.vm.Name != choice.Server.vm.Name {
+			continue
+		}
+		if server.isDown {
+			booking.RecordEnd(f.now, ports.ServerFaultUnreachable)
+			return
+		}
+		if f.now.Before(server.coldUntil) {
+			server.sent = append(server.sent, f.now)
+		}
+	}
+	booking.RecordFirstByte(f.now.Add(coldTick))
+	booking.RecordEnd(f.now.Add(coldTick), ports.ServerFaultNone)
+}
+
+func (f *coldFleet) check(t *testing.T) {
+	t.Helper()
+	f.returning(func(s *coldServer) {
+		most, first := 0, 0
+		for i, at := range s.sent {
+			for at.Sub(s.sent[first]) >= warmUpWindow {
+				first++
+			}
+			most = max(most, i-first+1)
+		}
+		if most > coldAllowed {
+			t.Errorf("%s got %d requests in %s while it was cold, allowed %d", s.vm.Name, most, warmUpWindow, coldAllowed)
+		}
+	})
+}
+
+// forColdFleets runs a test with fleets of the sizes in use.
+func forColdFleets(t *testing.T, test func(t *testing.T, f *coldFleet)) {
+	for _, daemons := range []int{7, 59, 84, 195} {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			t.Parallel()
+			test(t, newColdFleet(daemons))
+		})
+	}
+}
+
+// All daemons have far more calls than cold servers take, after none had any, and use what
+// the servers take.
+func TestFleetKeepsRateOfColdServers(t *testing.T) {
+	forColdFleets(t, func(t *testing.T, f *coldFleet) {
+		f.servers = slices.DeleteFunc(f.servers, func(s *coldServer) bool { return s.vm.Domain != "z0" })
+		f.makeKnownCold(time.Minute)
+		f.run(10*time.Second, 0)
+		f.run(5*time.Second, 50)
+		f.check(t)
+		f.returning(func(s *coldServer) {
+			if used := float64(len(s.sent)) / 5; used < 0.8*testWarmUp.Rate {
+				t.Errorf("%s got %.1f requests a second while it was cold, it takes %g", s.vm.Name, used, testWarmUp.Rate)
+			}
+		})
+	})
+}
+
+// The servers of a failure domain crash and return together, started anew. The daemons
+// learn of it within a second of each other.
+func TestFleetKeepsRateOfReturningDomain(t *testing.T) {
+	forColdFleets(t, func(t *testing.T, f *coldFleet) {
+		f.run(3*time.Second, 20)
+		f.returning(func(s *coldServer) { s.isDown = true })
+		f.run(2*time.Second, 20)
+		f.makeCold(testWarmUp.Within, true)
+		f.publish()
+		f.run(testWarmUp.Within, 20)
+		f.check(t)
+	})
+}
+
+// The servers of a failure domain return under their old entries, and their new ones
+// arrive seconds after. Most daemons were refused by them meanwhile.
+func TestFleetKeepsRateOfDomainThatReturnsUnnoticed(t *testing.T) {
+	forColdFleets(t, func(t *testing.T, f *coldFleet) {
+		f.run(3*time.Second, 20)
+		f.returning(func(s *coldServer) { s.isDown = true })
+		f.run(2*time.Second, 20)
+		f.makeCold(testWarmUp.Within, false)
+		for _, d := range f.daemons {
+			d.listAt = f.now.Add(1700*time.Millisecond + time.Duration(f.random.Float64()*float64(maxListDelay)))
+		}
+		f.run(testWarmUp.Within, 20)
+		f.check(t)
+	})
+}
+
+// All daemons restart while servers are cold, and know no other daemon for a second.
+func TestRestartedFleetKeepsRateOfColdServers(t *testing.T) {
+	forColdFleets(t, func(t *testing.T, f *coldFleet) {
+		f.makeKnownCold(20 * time.Second)
+		f.run(3*time.Second, 20)
+		for i, d := range f.daemons {
+			f.daemons[i] = f.newDaemon(d.vm)
+		}
+		f.run(time.Second, 20)
+		f.connectAll()
+		f.run(5*time.Second, 20)
+		f.check(t)
+	})
+}
+
+// A daemon hears no peer, and the halves of the rest don't hear each other.
+func TestDividedFleetKeepsRateOfColdServers(t *testing.T) {
+	forColdFleets(t, func(t *testing.T, f *coldFleet) {
+		all := f.daemons[0].alive
+		half := len(all) / 2
+		for i, d := range f.daemons {
+			switch {
+			case i == 0:
+				d.alive = nil
+			case i < half:
+				d.alive = all[1:half]
+			default:
+				d.alive = all[half:]
+			}
+		}
+		for range 90 {
+			f.now = f.now.Add(time.Second)
+			for _, d := range f.daemons {
+				f.update(d)
+			}
+		}
+		f.makeKnownCold(time.Minute)
+		f.run(5*time.Second, 20)
+		f.check(t)
+	})
+}
+
+// Calls to a failure domain are permitted again, whose servers have just become cold. The
+// entries say so later.
+func TestFleetKeepsRateOfDomainThatIsPermittedAgain(t *testing.T) {
+	forColdFleets(t, func(t *testing.T, f *coldFleet) {
+		for _, d := range f.daemons {
+			d.pool.SetColdUntil("z0", f.now.Add(d.pool.WarmUpWithin()))
+			f.update(d)
+		}
+		f.returning(func(s *coldServer) { s.coldUntil = f.now.Add(2 * time.Second) })
+		f.run(2*time.Second, 50)
+		f.check(t)
+	})
+}
+
+// All daemons know the same end of a warm-up. They lift the bound one after the other, and
+// all have lifted it a second later.
+func TestDaemonsLiftBoundOverOneSecond(t *testing.T) {
+	f := newColdFleet(59)
+	f.makeCold(testWarmUp.Within, false)
+	end := f.now.Add(testWarmUp.Within)
+	bounded := func(at time.Duration) int {
+		f.now = end.Add(at)
+		count := 0
+		for _, d := range f.daemons {
+			f.update(d)
+			count += d.pool.ColdServers()
+		}
+		return count
+	}
+	all := len(f.daemons) * returningServers
+	if got := bounded(-coldTick); got != all {
+		t.Errorf("%d of %d bounds before the end of the warm-up", got, all)
+	}
+	if got := bounded(warmUpRamp / 2); got < all/3 || got > 2*all/3 {
+		t.Errorf("%d of %d bounds are left half a second after it", got, all)
+	}
+	if got := bounded(warmUpRamp); got != 0 {
+		t.Errorf("%d of %d bounds are left a second after it", got, all)
+	}
+}
+
+// A daemon that starts finds servers that have long been warm: none is bounded, then or
+// later.
+func TestServersThatAreWarmAtStartAreNotBounded(t *testing.T) {
+	f := newColdFleet(7)
+	for _, d := range f.daemons {
+		if cold := d.pool.ColdServers(); cold != 0 || len(d.pool.TakeWarmthChanges()) != 0 {
+			t.Errorf("%d servers count as cold", cold)
+		}
+	}
+}
+
+// A cold server is taken to be slow, so that calls that can't bear that go elsewhere.
+func TestColdServerGetsCallsThatBearSlowAnswers(t *testing.T) {
+	pool, sharing := newEnginePool(1, 64), NewLimitSharing(start.Add(-time.Minute), localVM)
+	sharing.Update(start, nil)
+	pool.SetWarmUp(testWarmUp)
+	for _, vm := range pool.VMs() {
+		pool.SetColdUntil(vm.Domain, start.Add(testWarmUp.Within))
+	}
+	pool.ApplyLimits(start, NewNotices(), sharing)
+	now := start.Add(time.Second)
+	usual := newLatencyModel(true)
+	prompt := 5000
+	between := (usual.predictFirstByte(now, prompt) + pool.servers[0].latency.predictFirstByte(now, prompt)) / 2
+	impatient := &Work{ForEngine: true, UniqueTokens: prompt, FirstTokenWithin: time.Duration(float64(between) / targetFraction)}
+	patient := &Work{ForEngine: true, UniqueTokens: prompt, FirstTokenWithin: 4 * impatient.FirstTokenWithin}
+	if _, ok := pool.Choose(now, impatient, AdmissionTerms{}); ok {
+		t.Error("a call that can't bear a slow answer is sent to a cold server")
+	}
+	if _, ok := pool.Choose(now, patient, AdmissionTerms{}); !ok {
+		t.Error("a call that bears a slow answer is not sent to a cold server")
+	}
+}
+
+// One daemon that is cut off for a while takes its servers to be cold until an answer or
+// the list tells it more, and no longer.
+func TestDoubtAboutFailedServerEnds(t *testing.T) {
+	for _, isFresh := range []bool{true, false} {
+		pool, sharing := newEnginePool(1, 64), NewLimitSharing(start.Add(-time.Minute), localVM)
+		pool.SetWarmUp(testWarmUp)
+		apply := func(after time.Duration) int {
+			pool.SetListFresh(start.Add(after), isFresh)
+			pool.ApplyLimits(start.Add(after), NewNotices(), sharing)
+			return pool.ColdServers()
+		}
+		apply(0)
+		work := &Work{ForEngine: true, UniqueTokens: 100, FirstTokenWithin: time.Second}
+		choice, _ := pool.Choose(start, work, AdmissionTerms{})
+		pool.Book(start, choice, work).RecordEnd(start, ports.ServerFaultUnreachable)
+		if apply(5*time.Second) != 1 {
+			t.Error("a server that failed a call doesn't count as cold")
+		}
+		lifetime := maxStaleDoubt
+		if isFresh {
+			lifetime = doubtLifetime
+		}
+		apply(lifetime)
+		if apply(lifetime+warmUpRamp) != 0 {
+			t.Errorf("the server counts as cold after %s", lifetime+warmUpRamp)
+		}
+	}
+}
+
+// The bounds that follow from a tolerance are kept for any rate: what all senders send at
+// once and then at the sustained rate is no more than the tolerance.
+func TestBoundKeepsTolerance(t *testing.T) {
+	for _, tolerance := range []RateTolerance{
+		{Factor: 1, Window: time.Second}, {Factor: 1.5, Excess: 5, Window: time.Second}, {Factor: 1, Excess: 2, Window: 4 * time.Second},
+	} {
+		for _, rate := range []float64{1, 2.5, 10, 100} {
+			bound, allowed := tolerance.Bound(rate), tolerance.Factor*rate*tolerance.Window.Seconds()+tolerance.Excess
+			if most := bound.Burst + bound.Rate*tolerance.Window.Seconds(); int(most) > int(allowed) || bound.Burst < 1 || bound.Rate <= 0 {
+				t.Errorf("%+v at %g a second: %+v", tolerance, rate, bound)
+			}
+		}
+	}
+}
