--- a/internal/core/dispatch/warmup.go
+++ b/internal/core/dispatch/warmup.go
@@ -146,8 +146,8 @@
 		w.extend(now.Add(w.within), ColdByJoin)
 		return
 	}
-	if started := time.UnixMilli(vm.StartedMillis); vm.StartedMillis > 0 && !started.After(now) {
-		w.extend(started.Add(w.within), ColdByStart)
+	if age := now.Sub(time.UnixMilli(vm.StartedMillis)); vm.StartedMillis > 0 && age >= 0 && age < w.within {
+		w.extend(now.Add(w.within-age), ColdByStart)
 	}
 }
 
--- a/internal/core/serverlist/table_test.go
+++ b/internal/core/serverlist/table_test.go
@@ -98,3 +98,25 @@
 		t.Errorf("%d servers after that, want 1", got)
 	}
 }
+
+// A list passed on tells what is left of a warm-up, and not an end by the sender's clock.
+func TestRemainingWarmUpIsPassedOn(t *testing.T) {
+	watching, adopting := NewTable(), NewTable()
+	entry := newEntry("a")
+	entry.VM.ColdUntil = start.Add(3 * time.Second)
+	watching.Replace(start, ports.StoreVersion{Revision: 10}, []Change{entry, newEntry("b")})
+	adoptedAt := start.Add(time.Hour)
+	adopting.Adopt(adoptedAt, watching.Snapshot(start.Add(time.Second)))
+	for _, vm := range adopting.Servers(adoptedAt) {
+		want := time.Time{}
+		if vm.Name == "a" {
+			want = adoptedAt.Add(2 * time.Second)
+		}
+		if !vm.ColdUntil.Equal(want) {
+			t.Errorf("%s is cold until %s, want %s", vm.Name, vm.ColdUntil, want)
+		}
+	}
+	if cold := adopting.Snapshot(adoptedAt.Add(2 * time.Second)).Cold; len(cold) != 0 {
+		t.Errorf("a warm server is passed on as cold: %+v", cold)
+	}
+}
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -69,6 +69,7 @@
 		services[service.Service] = merged
 	}
 	merged.Running += service.Running
+	merged.Cold = max(merged.Cold, service.Cold)
 	merged.Owned = append(merged.Owned, service.Owned...)
 	for workspace, count := range service.Queued {
 		merged.Queued[workspace] += count
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -81,6 +81,9 @@
 // the given status.
 func (c *statusCommand) printService(service ports.ServiceStatus) {
 	c.printf("service %s: running %d, fairness gap %.1f\n", service.Service, service.Running, fairnessGap(service))
+	if service.Cold > 0 {
+		c.printf("  cold servers: %d\n", service.Cold)
+	}
 	for _, workspace := range slices.Sorted(maps.Keys(service.Queued)) {
 		c.printf("  queued for %s: %d\n", workspace, service.Queued[workspace])
 	}
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -48,6 +48,7 @@
 	  "operators": {"keyDigests": {"alice": "short"}},
 	  "limits": {"body": "1GiB", "connections": 0, "receiveWithin": 5},
 	  "stop": null,
+	  "warmUp": {"tolerance": 0.5, "excess": -1},
 	  "log": {"level": "loud"},
 	  "experimental": {"exchangePeriod": "-1s"}
 	}`
@@ -64,6 +65,8 @@
 		"limits.connections":          "1 to 65536",
 		"limits.receiveWithin":        "a string with a unit",
 		"stop":                        "an object",
+		"warmUp.tolerance":            "1 to 10",
+		"warmUp.excess":               "0 to 1000",
 		"log.level":                   "one of debug, info, warn, error",
 		"experimental.exchangePeriod": "10ms to 1m",
 	}
--- a/testbench/soak/backends.go
+++ b/testbench/soak/backends.go
@@ -99,13 +99,14 @@
 	// pausedUntil is the Unix time in nanoseconds until which the server sends nothing.
 	pausedUntil atomic.Int64
 	limit       namedLimit
+	cold        coldArrivals
 	closed      chan struct{}
 }
 
 func newBackendServer(name, service, zone, version string, c *checker) *backendServer {
 	s := &backendServer{
 		Server: platformtest.NewServer(name), service: service, zone: zone, version: version, checker: c,
-		closed: make(chan struct{}),
+		closed: make(chan struct{}), cold: coldArrivals{coldTill: time.Now().Add(coldTime)},
 	}
 	s.SetVersion(version)
 	s.SetHandler(s.handle)
@@ -137,6 +138,7 @@
 
 func (s *backendServer) handle(w http.ResponseWriter, r *http.Request) {
 	s.limit.receive(w)
+	s.cold.receive(time.Now())
 	mode := failureMode(s.failureMode.Load())
 	if rand.IntN(2) == 0 {
 		mode = noFailure
--- a/testbench/soak/faults.go
+++ b/testbench/soak/faults.go
@@ -323,7 +323,7 @@
 
 func (r *soakRun) delayServerLink() func() {
 	link := r.randomServerLink()
-	link.SetDelay(r.randomDuration(300 * time.Millisecond))
+	link.SetDelay(r.randomDuration(maxLinkDelay))
 	return func() { link.SetDelay(0) }
 }
 
@@ -366,6 +366,7 @@
 // writeConfiguration writes the configuration object, without key-2 once it is revoked.
 func (r *soakRun) writeConfiguration() {
 	spec := platformtest.Configuration(r.configurationVersion)
+	setWarmUp(spec)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.revocationDeadline.IsZero() {
--- a/testbench/soak/soak.go
+++ b/testbench/soak/soak.go
@@ -124,6 +124,7 @@
 	}
 	r.injectFaults()
 	r.endLimits()
+	r.checkColdServers()
 	r.checkRecovery()
 	cancel()
 	callers.Wait()
