--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -51,7 +51,8 @@
 	Configuration ports.ConfigurationSource
 	// List may be missing: each daemon then reads the server list itself.
 	List ports.ServerListFeed `optional:"true"`
-	// Settings name the regions that may be without VMs now.
+	// Settings may be missing: cold servers then bear no more than their warm-up rate, and
+	// regions are known by their VMs alone.
 	Settings *settings.Settings `optional:"true"`
 }
 
@@ -65,11 +66,13 @@
 	leavingCounter        *metrics.CounterVec
 	pushbackCounter       *metrics.CounterVec
 	limitCounter          *metrics.CounterVec
+	warmthCounter         *metrics.CounterVec
 	quarantineCounter     *metrics.CounterVec
 	callQuarantineCounter *metrics.CounterVec
 	directory             ports.Directory
 	transport             ports.PeerTransport
 	configuration         ports.ConfigurationSource
+	warmUp                settings.WarmUp
 	lists                 *listExchange
 	origins               *originExchange
 	changeSignal          chan struct{}
@@ -116,11 +119,13 @@
 		leavingCounter:        metrics.NewCounterVec(scope, "servers_leaving", "service"),
 		pushbackCounter:       metrics.NewCounterVec(scope, "server_pushbacks", "service"),
 		limitCounter:          metrics.NewCounterVec(scope, "server_limit_changes", "service", "change"),
+		warmthCounter:         metrics.NewCounterVec(scope, "server_warmth_changes", "service", "state", "reason"),
 		quarantineCounter:     metrics.NewCounterVec(scope, "prompt_parts_quarantined", "source"),
 		callQuarantineCounter: metrics.NewCounterVec(scope, "calls_quarantined", "source"),
 		directory:             p.Directory,
 		transport:             p.Transport,
 		configuration:         p.Configuration,
+		warmUp:                warmUpSettings(p.Settings),
 		lists:                 newListExchange(p.List),
 		origins:               newOriginExchange(p.Directory, p.Transport),
 		changeSignal:          make(chan struct{}, 1),
@@ -227,6 +232,7 @@
 			m.pools[name] = pool
 		}
 		pool.SetService(service.Kind == configuration.ServiceKindEngine, service.MemoryTokens)
+		pool.SetWarmUp(m.warmUpOf(&service))
 	}
 	for name, pool := range m.pools {
 		// The calls in progress of a service that has left the configuration may need
@@ -245,6 +251,7 @@
 		m.logUnknownRegions()
 	}
 	now := time.Now()
+	m.setListFresh(now, isFresh)
 	m.updateLimits(now)
 	m.observeVersions(now, isFresh)
 	m.resolveWaiters(now)
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -41,8 +41,11 @@
 	saidLeaving bool
 	// pausedUntil is when the pause ends that the server asked for.
 	pausedUntil time.Time
-	// allowance is set while the server names a limit.
-	allowance *allowance
+	// allowance is set while the requests of all daemons to the server are bounded, and
+	// namesLimit while it names a limit itself.
+	allowance  *allowance
+	namesLimit bool
+	warmth
 	// removed reports whether the server has left the list.
 	removed bool
 }
@@ -75,6 +78,17 @@
 	return expected
 }
 
+// predictIdle returns the predicted time to the first byte of a call with the given number
+// of prompt tokens to process without other load, if the server were warm.
+func (s *Server) predictIdle(now time.Time, promptTokens int) time.Duration {
+	expected := s.latency.predictFirstByte(now, promptTokens)
+	if !s.isCold {
+		return expected
+	}
+	usual := newLatencyModel(s.isEngine)
+	return min(expected, usual.predictFirstByte(now, promptTokens))
+}
+
 // longestPending returns how long the oldest call without a first byte has
 // waited.
 func (s *Server) longestPending(now time.Time) time.Duration {
