EVAC: stop sending calls to evacuated failure domains

Operators evacuate a failure domain by an entry in the store; no code knew of it. core/evacuation keeps the listed domains by the store's version, across eras as core/serverlist does. One daemon of each failure domain watches them, tells the others at once, and reports the version with its load, so that whoever is behind pulls. The servers of these domains get no tries, retries, replacements or trial calls, are no cache holders or preferred servers, and are no capacity. Without the setting platform.evacuateWithin no call is made.

--- a/internal/adapters/callerhttp/status.go
+++ b/internal/adapters/callerhttp/status.go
@@ -31,6 +31,7 @@
 	outcome.ReasonServerOverloaded:       http.StatusServiceUnavailable,
 	outcome.ReasonServerLeaving:          http.StatusServiceUnavailable,
 	outcome.ReasonServerLimited:          http.StatusServiceUnavailable,
+	outcome.ReasonServersEvacuated:       http.StatusServiceUnavailable,
 	outcome.ReasonServerFailed:           http.StatusBadGateway,
 	outcome.ReasonFairShareExceeded:      http.StatusTooManyRequests,
 	outcome.ReasonConnectionBroken:       http.StatusBadGateway,
--- a/internal/adapters/operatorhttp/server.go
+++ b/internal/adapters/operatorhttp/server.go
@@ -50,6 +50,7 @@
 	ReadinessChecks []ports.ReadinessCheck    `group:"readiness"`
 	MetricsHandler  http.Handler              `name:"metrics" optional:"true"`
 	Sharing         ports.SharingView         `optional:"true"`
+	Evacuations     ports.EvacuationView      `optional:"true"`
 	CallHistory     ports.CallHistory         `optional:"true"`
 }
 
--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -145,6 +145,10 @@
 		w.refuse(noServerRefusal("no backend server of the service is known"))
 		return true
 	}
+	if pool.IsEvacuatedFor(&w.work) {
+		w.refuse(evacuatedRefusal())
+		return true
+	}
 	if w.work.SoftwareVersion != "" && !pool.HasServerFor(&w.work) {
 		w.refuse(versionGoneRefusal("no other backend server has the software version of the stream"))
 		return true
@@ -253,6 +257,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.observeVersions(now, isFresh)
+	m.updateEvacuations(now)
 	m.updateLimits(now)
 	m.resolveWaiters(now)
 	m.logShares(now)
@@ -356,6 +361,14 @@
 	}
 }
 
+func evacuatedRefusal() *outcome.Refusal {
+	return &outcome.Refusal{
+		Reason: outcome.ReasonServersEvacuated, End: outcome.NotRun,
+		Detail:     "the failure domains of all backend servers that could run the call are evacuated",
+		RetryAfter: core.RetryAfterEvacuation(rand.Float64()),
+	}
+}
+
 func noServerRefusal(detail string) *outcome.Refusal {
 	return &outcome.Refusal{
 		Reason: outcome.ReasonNoServer, End: outcome.NotRun, Detail: detail,
--- a/internal/app/dispatch/exchange.go
+++ b/internal/app/dispatch/exchange.go
@@ -50,16 +50,19 @@
 	daemons := m.directory.Daemons()
 	topology := core.NewTopology(m.directory.Self(), daemons)
 	digest := m.listDigest()
+	evacuations := m.evacuations.digest()
 	m.mu.Lock()
 	if topology.IsAggregator && now.Sub(m.exchange.limitsQueuedAt) >= limitSyncPeriod {
 		m.exchange.limitsQueuedAt = now
 		m.notices.QueueLimits(now)
 	}
 	message := m.newLoadMessage(now, digest)
+	message.SetEvacuations(evacuations)
 	var aggregate *ports.LoadMessage
 	if topology.IsAggregator &&
 		now.Sub(m.exchange.aggregateSentAt) >= aggregatePeriod+time.Duration(len(daemons))*aggregatePeriodPerDaemon {
 		aggregate = m.newAggregateMessage(now, digest, len(daemons) <= maxDaemonsForServerLoads)
+		aggregate.SetEvacuations(evacuations)
 	} else if !topology.IsAggregator {
 		m.dropCrossDomainUpdates()
 	}
@@ -89,6 +92,7 @@
 	// The digest describes the list of the aggregator, which the receivers would ask
 	// the relaying daemon for.
 	relayed.SetServerList(ports.ServerListDigest{})
+	relayed.SetEvacuations(nil)
 	m.sendToAll(core.NewTopology(self, m.directory.Daemons()).SameDomain, &relayed)
 }
 
@@ -192,6 +196,7 @@
 
 func (m *Manager) handleLoadMessage(from ports.DaemonID, message *ports.LoadMessage) {
 	m.pullNewerList(from, message.ServerListDigest())
+	m.pullNewerEvacuations(from, message)
 	m.relayAggregate(message)
 	now := time.Now()
 	source := core.Source{Daemon: from}
--- a/internal/app/dispatch/lists.go
+++ b/internal/app/dispatch/lists.go
@@ -26,11 +26,29 @@
 )
 
 // listExchange brings the list of backend servers to the daemons that don't
-// watch it at the platform. No other lock is taken while its mutex is held.
+// watch it at the platform.
 type listExchange struct {
 	feed ports.ServerListFeed
+	watchExchange
+}
+
+func newListExchange(feed ports.ServerListFeed) *listExchange {
+	return &listExchange{feed: feed, watchExchange: watchExchange{
+		startedAt: time.Now(), startupPeriod: startupPeriod,
+		maxDaemonsAllWatching: maxDaemonsAllWatching, watchersPerDomain: watchersPerDomain,
+	}}
+}
 
+// watchExchange decides which daemons watch a list at the platform, and when the others
+// pull it from one that has a newer one. No other lock is taken while its mutex is held.
+type watchExchange struct {
 	startedAt time.Time
+	// startupPeriod is how long the other daemons may be unknown after startedAt.
+	startupPeriod time.Duration
+	// maxDaemonsAllWatching is the largest fleet in which each daemon watches, and
+	// watchersPerDomain the number of daemons of a failure domain that do so in a larger
+	// one.
+	maxDaemonsAllWatching, watchersPerDomain int
 
 	mu sync.Mutex
 	// watcherReportedAt is when a daemon last reported that it watches the
@@ -39,10 +57,6 @@
 	pulledAt          time.Time
 }
 
-func newListExchange(feed ports.ServerListFeed) *listExchange {
-	return &listExchange{feed: feed, startedAt: time.Now()}
-}
-
 func (m *Manager) registerListHandlers() {
 	if m.lists.feed == nil {
 		return
@@ -80,7 +94,7 @@
 	}
 }
 
-func (l *listExchange) shouldPull(now time.Time, reported, own ports.ServerListDigest) bool {
+func (l *watchExchange) shouldPull(now time.Time, reported, own ports.ServerListDigest) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if reported.Watching {
@@ -100,15 +114,20 @@
 	if m.lists.feed == nil {
 		return
 	}
-	self := m.directory.Self()
 	daemons := m.directory.Daemons()
+	rank := rankInDomain(m.directory.Self(), daemons)
+	m.lists.feed.SetWatching(m.lists.shouldWatch(now, len(daemons), rank))
+}
+
+// rankInDomain returns the number of daemons of the failure domain that precede this one.
+func rankInDomain(self ports.VM, daemons []ports.VM) int {
 	rank := 0
 	for _, daemon := range daemons {
 		if daemon.Domain == self.Domain && core.CompareByNameHash(daemon, self) < 0 {
 			rank++
 		}
 	}
-	m.lists.feed.SetWatching(m.lists.shouldWatch(now, len(daemons), rank))
+	return rank
 }
 
 // isFresh reports whether this daemon or another one that reports its list watches the
@@ -124,14 +143,19 @@
 
 // shouldWatch reports whether to watch the list, in a fleet with the given
 // number of daemons, of which rank in this failure domain precede this one.
-// During the startup period the others are not known yet: the list is read
-// once, and later changes are found after it.
 func (l *listExchange) shouldWatch(now time.Time, daemons, rank int) bool {
-	if now.Sub(l.startedAt) < startupPeriod {
-		return l.feed.Digest().StoreVersion() == ports.StoreVersion{}
+	return l.watchExchange.shouldWatch(now, l.feed.Digest().StoreVersion(), daemons, rank)
+}
+
+// shouldWatch reports whether to watch the list of the given version. During the startup
+// period the others are not known yet: the list is read once, and later changes are found
+// after it.
+func (l *watchExchange) shouldWatch(now time.Time, version ports.StoreVersion, daemons, rank int) bool {
+	if now.Sub(l.startedAt) < l.startupPeriod {
+		return version == ports.StoreVersion{}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return daemons <= maxDaemonsAllWatching || rank < watchersPerDomain ||
+	return daemons <= l.maxDaemonsAllWatching || rank < l.watchersPerDomain ||
 		now.Sub(l.watcherReportedAt) >= watcherReportLifetime
 }
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -26,12 +26,14 @@
 	"hawthornstream/internal/ports"
 )
 
-// Module provides ports.SlotBroker, ports.SharingView and ports.ServerNotices.
+// Module provides ports.SlotBroker, ports.SharingView, ports.EvacuationView and
+// ports.ServerNotices.
 var Module = fx.Module("dispatch",
 	fx.Provide(
 		NewManager,
 		func(m *Manager) ports.SlotBroker { return m },
 		func(m *Manager) ports.SharingView { return m },
+		func(m *Manager) ports.EvacuationView { return m },
 		func(m *Manager) ports.ServerNotices { return m },
 	),
 	fx.Invoke(func(lifecycle fx.Lifecycle, m *Manager) {
@@ -50,6 +52,8 @@
 	Configuration ports.ConfigurationSource
 	// List may be missing: each daemon then reads the server list itself.
 	List ports.ServerListFeed `optional:"true"`
+	// Evacuations may be missing: only the configuration then evacuates domains.
+	Evacuations ports.EvacuationFeed `optional:"true"`
 }
 
 // Manager implements ports.SlotBroker and ports.ServerNotices. It is safe for concurrent use.
@@ -68,6 +72,8 @@
 	transport             ports.PeerTransport
 	configuration         ports.ConfigurationSource
 	lists                 *listExchange
+	evacuations           *evacuationExchange
+	evacuationCounter     *metrics.CounterVec
 	origins               *originExchange
 	changeSignal          chan struct{}
 	pauseSignal           chan struct{}
@@ -78,10 +84,12 @@
 	loops          sync.WaitGroup
 
 	// mu guards everything below.
-	mu               sync.Mutex
-	stopping         bool
-	document         *configuration.Document
-	pools            map[ports.ServiceName]*core.Pool
+	mu       sync.Mutex
+	stopping bool
+	document *configuration.Document
+	pools    map[ports.ServiceName]*core.Pool
+	// evacuated are the failure domains whose servers get no calls.
+	evacuated        core.EvacuatedDomains
 	versionHistories map[ports.ServiceName]*streamorigin.VersionHistory
 	notices          *core.Notices
 	limitSharing     *core.LimitSharing
@@ -115,6 +123,8 @@
 		transport:             p.Transport,
 		configuration:         p.Configuration,
 		lists:                 newListExchange(p.List),
+		evacuations:           newEvacuationExchange(p.Evacuations),
+		evacuationCounter:     metrics.NewCounterVec(scope, "evacuations", "domain", "change"),
 		origins:               newOriginExchange(p.Directory, p.Transport),
 		changeSignal:          make(chan struct{}, 1),
 		pauseSignal:           make(chan struct{}, 1),
@@ -134,6 +144,7 @@
 			m.handleLoadMessage(from, message.(*ports.LoadMessage))
 		})
 	m.registerListHandlers()
+	m.registerEvacuationHandlers()
 	p.Directory.OnChange(m.signalChange)
 	p.Configuration.OnChange(func(*ports.Configuration) { m.signalChange() })
 	return m
@@ -189,6 +200,7 @@
 			period := m.sendLoadMessages(now)
 			m.lockAndUpdate(now)
 			m.updateListWatch(now)
+			m.updateEvacuationWatch(now)
 			reportTimer.Reset(withJitter(period))
 		}
 	}
@@ -230,6 +242,7 @@
 		pool.ApplyNotices(m.notices)
 	}
 	now := time.Now()
+	m.updateEvacuations(now)
 	m.updateLimits(now)
 	m.observeVersions(now, isFresh)
 	m.resolveWaiters(now)
--- a/internal/core/dispatch/limits.go
+++ b/internal/core/dispatch/limits.go
@@ -221,7 +221,7 @@
 	return count
 }
 
-// HasLimit reports whether a server of the pool names a limit and isn't leaving.
+// HasLimit reports whether a server of the pool names a limit and takes new calls.
 func (p *Pool) HasLimit() bool {
 	return p.limitSum() > 0
 }
@@ -230,7 +230,7 @@
 func (p *Pool) limitSum() float64 {
 	sum := 0.0
 	for _, server := range p.servers {
-		if server.allowance != nil && !server.isLeaving() {
+		if server.allowance != nil && server.takesNewCalls() {
 			sum += max(server.allowance.limit, minLimit)
 		}
 	}
@@ -259,7 +259,7 @@
 }
 
 // UsableCapacity returns what is left of the configured capacity of all engines, in tokens
-// per second, while some of them name limits.
+// per second, while some of them name limits or are evacuated.
 //
 // Load pattern: limited engines run a fraction of the calls that they could. By the
 // configured capacity every workspace would be within its fair share, and those with the
@@ -274,10 +274,14 @@
 	perEngine, lost := configured/float64(max(engines, 1)), 0.0
 	for _, pool := range pools {
 		for _, server := range pool.servers {
-			if pool.isEngine && server.allowance != nil {
+			switch {
+			case !pool.isEngine:
+			case server.isEvacuated:
+				lost += perEngine
+			case server.allowance != nil:
 				lost += max(perEngine-max(server.allowance.limit, minLimit)*pool.meanTokens, 0)
 			}
 		}
 	}
-	return configured - lost
+	return max(configured-lost, 0)
 }
--- a/internal/core/dispatch/longprompts.go
+++ b/internal/core/dispatch/longprompts.go
@@ -103,7 +103,7 @@
 	domains := make(map[ports.FailureDomain][]*Server)
 	for _, server := range p.servers {
 		server.takesLongPrompts = false
-		if !server.isLeaving() {
+		if server.takesNewCalls() {
 			domains[server.vm.Domain] = append(domains[server.vm.Domain], server)
 		}
 	}
@@ -124,14 +124,16 @@
 }
 
 func (p *Pool) updateMeanSecondsPerToken() {
-	if len(p.servers) == 0 {
-		return
-	}
-	sum := 0.0
+	sum, count := 0.0, 0
 	for _, server := range p.servers {
-		sum += server.latency.perTokenSeconds
+		if !server.isEvacuated {
+			sum += server.latency.perTokenSeconds
+			count++
+		}
+	}
+	if count > 0 {
+		p.meanSecondsPerToken = sum / float64(count)
 	}
-	p.meanSecondsPerToken = sum / float64(len(p.servers))
 }
 
 // separationCost returns the cost, in nanoseconds, of mixing long prompts with other
--- a/internal/core/dispatch/notices.go
+++ b/internal/core/dispatch/notices.go
@@ -116,7 +116,7 @@
 	var earliest time.Time
 	found := false
 	for _, server := range p.servers {
-		if server.isLeaving() || work != nil && !server.mayRun(work) {
+		if !server.takesNewCalls() || work != nil && !server.mayRun(work) {
 			continue
 		}
 		free := server.freeAt(now)
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -44,6 +44,8 @@
 	// queueAllowance is the fraction of the queue limit that is open to
 	// workspaces above their fair share.
 	queueAllowance float64
+	// evacuated are the evacuated failure domains.
+	evacuated EvacuatedDomains
 	callStats
 	longPrompts longPromptStats
 	// meanSecondsPerToken is the servers' mean time to read a prompt token.
@@ -90,6 +92,7 @@
 	}
 	slices.SortFunc(next, func(a, b *Server) int { return cmp.Compare(a.vm.Name, b.vm.Name) })
 	p.servers = next
+	p.applyEvacuated()
 	p.assignLongPromptServers()
 }
 
--- a/internal/core/dispatch/preferred.go
+++ b/internal/core/dispatch/preferred.go
@@ -10,8 +10,8 @@
 }
 
 // preferredServers chooses the servers by rendezvous hashing: a server that
-// comes or goes moves only its own prefixes. Servers that are leaving or on
-// probation are not chosen.
+// comes or goes moves only its own prefixes. Servers that are leaving, evacuated
+// or on probation are not chosen.
 func (p *Pool) preferredServers(work *Work) preferredServers {
 	preferred := preferredServers{prefix: hashPrefixID(work.PrefixID)}
 	if preferred.prefix == 0 {
@@ -19,7 +19,7 @@
 	}
 	preferred.servers = p.preferredBuffer[:0]
 	for _, server := range p.servers {
-		if !server.isLeaving() && !server.health.onProbation && server.takesLongPrompts == work.isLongPrompt {
+		if server.takesNewCalls() && !server.health.onProbation && server.takesLongPrompts == work.isLongPrompt {
 			preferred.consider(server)
 		}
 	}
--- a/internal/core/dispatch/prefixes.go
+++ b/internal/core/dispatch/prefixes.go
@@ -78,7 +78,7 @@
 	for i := range locations {
 		location := &locations[i]
 		if location.server == except || now.Sub(location.usedAt) >= cacheLifetime ||
-			location.server.removed || location.server.health.onProbation {
+			location.server.removed || location.server.isEvacuated || location.server.health.onProbation {
 			continue
 		}
 		if best == nil || location.usedAt.After(best.usedAt) {
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -43,6 +43,8 @@
 	pausedUntil time.Time
 	// allowance is set while the server names a limit.
 	allowance *allowance
+	// isEvacuated reports whether the server's failure domain is evacuated.
+	isEvacuated bool
 	// removed reports whether the server has left the list.
 	removed bool
 }
@@ -110,6 +112,11 @@
 // mayRun reports whether the server may run the call once its health and its pause
 // permit it.
 func (s *Server) mayRun(work *Work) bool {
+	return !s.isEvacuated && s.suits(work)
+}
+
+// suits reports the same of a server whose failure domain is not evacuated.
+func (s *Server) suits(work *Work) bool {
 	return !s.isLeaving() && !slices.Contains(work.FailedServers, s.vm.Name) &&
 		(work.SoftwareVersion == "" || work.SoftwareVersion == s.vm.SoftwareVersion)
 }
--- a/internal/core/outcome/reason.go
+++ b/internal/core/outcome/reason.go
@@ -30,7 +30,8 @@
 	ReasonServerUnreachable      Reason = "backend-server-unreachable"
 	ReasonServerOverloaded       Reason = "backend-server-overloaded"
 	ReasonServerLeaving          Reason = "backend-server-leaving"
-	ReasonServerLimited          Reason = "backend-server-limited" // the servers take no more requests per second
+	ReasonServerLimited          Reason = "backend-server-limited"    // the servers take no more requests per second
+	ReasonServersEvacuated       Reason = "backend-servers-evacuated" // operators evacuated all failure domains of the servers
 	ReasonServerFailed           Reason = "backend-server-failed"
 	ReasonFairShareExceeded      Reason = "fair-share-exceeded" // the workspace uses more than its fair share
 	ReasonConnectionBroken       Reason = "connection-broken"
--- a/internal/ports/dispatch_messages.go
+++ b/internal/ports/dispatch_messages.go
@@ -35,6 +35,10 @@
 	// ServerLimits are the limits of backend servers that the sender has learned of, or
 	// that were confirmed to it, since its last message to the receiver.
 	ServerLimits []ServerLimitReport `cbor:"13,keyasint,omitempty"`
+	// Evacuations describes the sender's list of evacuated failure domains, and
+	// EvacuationsEra is its era. Absent if the sender reads none.
+	Evacuations    *ServerListDigest `cbor:"14,keyasint,omitempty"`
+	EvacuationsEra uint64            `cbor:"15,keyasint,omitempty"`
 }
 
 // ServerLimitReport reports the requests per second that a backend server takes from all
@@ -124,7 +128,28 @@
 	return digest
 }
 
-// ServerListDigest describes how recent a daemon's list of backend servers is.
+// SetEvacuations sets the digest of the evacuated failure domains that the message
+// carries; nil for none.
+func (m *LoadMessage) SetEvacuations(digest *ServerListDigest) {
+	m.Evacuations, m.EvacuationsEra = digest, 0
+	if digest != nil {
+		m.EvacuationsEra = digest.Era
+	}
+}
+
+// EvacuationDigest returns the digest of the evacuated failure domains that the message
+// carries, and false if it carries none.
+func (m *LoadMessage) EvacuationDigest() (ServerListDigest, bool) {
+	if m.Evacuations == nil {
+		return ServerListDigest{}, false
+	}
+	digest := *m.Evacuations
+	digest.Era = m.EvacuationsEra
+	return digest, true
+}
+
+// ServerListDigest describes how recent a daemon's list of backend servers, or of
+// evacuated failure domains, is.
 type ServerListDigest struct {
 	_ struct{} `cbor:",toarray"`
 	// Version is the platform's number of the latest change in the list.
--- a/internal/ports/operators.go
+++ b/internal/ports/operators.go
@@ -80,6 +80,8 @@
 	Shards []ShardOwner `json:"shards"`
 	// Services is the sharing of each service as this daemon sees it.
 	Services []ServiceStatus `json:"services"`
+	// Evacuations are the evacuated failure domains.
+	Evacuations []EvacuationStatus `json:"evacuations,omitempty"`
 }
 
 // ShardOwner names the daemon that grants the slots of a shard.
--- a/internal/ports/peer.go
+++ b/internal/ports/peer.go
@@ -25,6 +25,8 @@
 	KindStreamOriginRecords MessageKind = 40
 	KindStreamOriginQuery   MessageKind = 41
 	KindStreamOriginAnswer  MessageKind = 42
+	KindEvacuationPull      MessageKind = 50
+	KindEvacuationPush      MessageKind = 51
 )
 
 // Message is one typed message between daemons. Its fields are encoded as CBOR
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,6 +85,10 @@
 	// Regions maps each failure domain to its region. Default: none; without it
 	// the interface "objects" finds no backend servers.
 	Regions map[ports.FailureDomain]ports.Region `json:"regions,omitempty" validate:"dive,keys,name,endkeys,name"`
+	// EvacuateWithin is the time after which the backend servers of a failure domain that
+	// an operator evacuates in the store get no more calls. Default: no evacuations are
+	// read; 2s to 1m. Used by the interface "objects".
+	EvacuateWithin configuration.Duration `json:"evacuateWithin,omitempty" validate:"omitempty,between=2s 1m"`
 }
 
 // Operators holds the operators' access keys.
