--- a/internal/app/dispatch/evacuations.go
+++ b/internal/app/dispatch/evacuations.go
@@ -18,6 +18,9 @@
 	// fleet has one domain: every watch costs a call, and one watcher may be lost.
 	evacuationWatchersPerDomain = 1
 	evacuationWatchersAlone     = 2
+	// evacuationSubstitutes is the number of daemons of a failure domain that watch when
+	// the platform answers none of the others. While it is down, the rest wait for them.
+	evacuationSubstitutes = 4
 	// evacuationReceiversPerDomain is the number of daemons of another failure domain that
 	// are told of a change at once, and tell the rest of their domain.
 	evacuationReceiversPerDomain = 2
@@ -36,6 +39,7 @@
 func newEvacuationExchange(feed ports.EvacuationFeed) *evacuationExchange {
 	return &evacuationExchange{feed: feed, watchExchange: watchExchange{
 		startedAt: time.Now(), startupPeriod: evacuationStartupPeriod, watchersPerDomain: evacuationWatchersPerDomain,
+		substitutesPerDomain: evacuationSubstitutes,
 	}}
 }
 
@@ -123,7 +127,8 @@
 }
 
 // updateEvacuationWatch decides whether this daemon watches the evacuations itself: as
-// the first of its failure domain, or when no other daemon reports that it does.
+// the first of its failure domain, as one of the next when no other daemon reports that
+// it does, or when it hears of no daemon.
 func (m *Manager) updateEvacuationWatch(now time.Time) {
 	feed := m.evacuations.feed
 	if feed == nil {
--- a/internal/app/dispatch/lists.go
+++ b/internal/app/dispatch/lists.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -36,6 +37,7 @@
 	return &listExchange{feed: feed, watchExchange: watchExchange{
 		startedAt: time.Now(), startupPeriod: startupPeriod,
 		maxDaemonsAllWatching: maxDaemonsAllWatching, watchersPerDomain: watchersPerDomain,
+		substitutesPerDomain: math.MaxInt,
 	}}
 }
 
@@ -47,14 +49,17 @@
 	startupPeriod time.Duration
 	// maxDaemonsAllWatching is the largest fleet in which each daemon watches, and
 	// watchersPerDomain the number of daemons of a failure domain that do so in a larger
-	// one.
-	maxDaemonsAllWatching, watchersPerDomain int
+	// one. When none of them reports that the platform answers it, the first
+	// substitutesPerDomain watch.
+	maxDaemonsAllWatching, watchersPerDomain, substitutesPerDomain int
 
 	mu sync.Mutex
 	// watcherReportedAt is when a daemon last reported that it watches the
 	// list.
 	watcherReportedAt time.Time
-	pulledAt          time.Time
+	// reportedAt is when a daemon last reported its version.
+	reportedAt time.Time
+	pulledAt   time.Time
 }
 
 func (m *Manager) registerListHandlers() {
@@ -97,6 +102,7 @@
 func (l *watchExchange) shouldPull(now time.Time, reported, own ports.ServerListDigest) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.reportedAt = now
 	if reported.Watching {
 		l.watcherReportedAt = now
 	}
@@ -156,6 +162,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return daemons <= l.maxDaemonsAllWatching || rank < l.watchersPerDomain ||
-		now.Sub(l.watcherReportedAt) >= watcherReportLifetime
+	if daemons <= l.maxDaemonsAllWatching || rank < l.watchersPerDomain {
+		return true
+	}
+	if now.Sub(l.watcherReportedAt) < watcherReportLifetime {
+		return false
+	}
+	return rank < l.substitutesPerDomain || now.Sub(l.reportedAt) >= watcherReportLifetime
 }
--- a/internal/app/dispatch/lists_test.go
+++ b/internal/app/dispatch/lists_test.go
@@ -82,3 +82,35 @@
 		t.Error("the list of the earlier era is pulled")
 	}
 }
+
+// One daemon of each failure domain watches the evacuations. If it is lost or the platform
+// doesn't answer it, some others do, and a daemon that hears of none watches by itself.
+func TestFewDaemonsWatchEvacuations(t *testing.T) {
+	now := time.Now()
+	e := newEvacuationExchange(nil)
+	e.startedAt = now.Add(-time.Minute)
+	version := ports.StoreVersion{Era: 1, Revision: 5}
+	own := ports.ServerListDigest{Era: 1, Version: 5}
+	watching := own
+	watching.Watching = true
+	e.shouldPull(now, watching, own)
+	lost := now.Add(watcherReportLifetime)
+	check := func(at time.Time, rank int, want bool) {
+		t.Helper()
+		if got := e.shouldWatch(at, version, 60, rank); got != want {
+			t.Errorf("rank %d after %v: %v", rank, at.Sub(now), got)
+		}
+	}
+	check(now, 0, true)
+	check(now, 1, false)
+	e.shouldPull(lost, own, own)
+	check(lost, 1, true)
+	check(lost, evacuationSubstitutes, false)
+	check(lost.Add(watcherReportLifetime), 9, true)
+	e.startedAt = now
+	check(now, 0, false)
+	if !e.shouldWatch(now, ports.StoreVersion{}, 1, 0) {
+		t.Error("a daemon that has just started does not read the evacuations")
+	}
+	check(now.Add(evacuationStartupPeriod), 0, true)
+}
--- a/internal/app/sharing/manager_test.go
+++ b/internal/app/sharing/manager_test.go
@@ -177,3 +177,16 @@
 		}
 	}
 }
+
+func TestServersOfEvacuatedDomainsCountAsLeaving(t *testing.T) {
+	shard := newShard("s", "daemon-0", "", 2)
+	shard.Servers[0].Domain, shard.Servers[1].Domain = "z1", "z2"
+	shards := []ports.ShardView{shard}
+	marked := withEvacuatedLeaving(shards, []ports.FailureDomain{"z2"})
+	if marked[0].Servers[0].Leaving || !marked[0].Servers[1].Leaving {
+		t.Errorf("the servers are %+v", marked[0].Servers)
+	}
+	if shards[0].Servers[1].Leaving {
+		t.Error("the directory's list was modified")
+	}
+}
--- a/internal/app/sharing/refresh.go
+++ b/internal/app/sharing/refresh.go
@@ -1,6 +1,7 @@
 package sharing
 
 import (
+	"slices"
 	"time"
 
 	"hawthornstream/internal/core/admission"
@@ -24,7 +25,8 @@
 	}
 	var views []serviceView
 	for name := range current.Document.Services {
-		views = append(views, serviceView{service: name, shards: m.directory.Shards(name)})
+		shards := withEvacuatedLeaving(m.directory.Shards(name), current.Document.EvacuatedDomains)
+		views = append(views, serviceView{service: name, shards: shards})
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -41,6 +43,23 @@
 	}
 }
 
+// withEvacuatedLeaving returns the shards with the servers of evacuated failure domains as
+// leaving: they get no new calls, and those that they run end as usual.
+func withEvacuatedLeaving(shards []ports.ShardView, evacuated []ports.FailureDomain) []ports.ShardView {
+	if len(evacuated) == 0 {
+		return shards
+	}
+	shards = slices.Clone(shards)
+	for i := range shards {
+		shards[i].Servers = slices.Clone(shards[i].Servers)
+		for j := range shards[i].Servers {
+			vm := &shards[i].Servers[j]
+			vm.Leaving = vm.Leaving || slices.Contains(evacuated, vm.Domain)
+		}
+	}
+	return shards
+}
+
 // setAlive replaces the set of daemons considered alive and removes the entries
 // that are gone.
 func (m *Manager) setAlive(daemons []ports.VM) {
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -39,6 +40,7 @@
 
 func (c *statusCommand) printFleet(answers []serverAnswer) {
 	services := map[ports.ServiceName]*ports.ServiceStatus{}
+	evacuations := map[ports.FailureDomain]ports.EvacuationStatus{}
 	for _, answer := range answers {
 		if answer.Status == nil {
 			c.printf("%s: %s\n", answer.Server, answer.Fault)
@@ -50,12 +52,28 @@
 		for _, service := range status.Services {
 			mergeService(services, service)
 		}
+		for _, evacuation := range status.Evacuations {
+			evacuations[evacuation.Domain] = mergeEvacuation(evacuations[evacuation.Domain], evacuation)
+		}
 	}
+	c.printEvacuations(slices.SortedFunc(maps.Values(evacuations), func(a, b ports.EvacuationStatus) int {
+		return cmp.Compare(a.Domain, b.Domain)
+	}))
 	for _, name := range slices.Sorted(maps.Keys(services)) {
 		c.printService(*services[name])
 	}
 }
 
+// mergeEvacuation adds one daemon's status of an evacuated domain to that of other
+// daemons: the earliest time and the sum of their own calls.
+func mergeEvacuation(merged, evacuation ports.EvacuationStatus) ports.EvacuationStatus {
+	if merged.Domain == "" || evacuation.Since.Before(merged.Since) {
+		merged.Domain, merged.Since = evacuation.Domain, evacuation.Since
+	}
+	merged.Running += evacuation.Running
+	return merged
+}
+
 // mergeService adds one daemon's status of a service to that of other daemons. The
 // level of a workspace is the highest that any daemon reports.
 func mergeService(services map[ports.ServiceName]*ports.ServiceStatus, service ports.ServiceStatus) {
--- a/internal/ctl/main_test.go
+++ b/internal/ctl/main_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"hawthornstream/internal/core/configuration"
 	"hawthornstream/internal/core/fieldcheck"
@@ -192,6 +193,24 @@
 	}
 }
 
+func TestStatusShowsEvacuatedDomains(t *testing.T) {
+	since := time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+	status := func(age time.Duration, running int) http.HandlerFunc {
+		return respondWith(ports.DaemonStatus{Evacuations: []ports.EvacuationStatus{
+			{Domain: "z1", Since: since.Add(age), Running: running, Elsewhere: 4},
+		}})
+	}
+	one, two := newFakeDaemon(t, status(time.Second, 2)), newFakeDaemon(t, status(0, 3))
+	const line = "evacuated: z1 since 2026-12-04T10:00:0%dZ, calls that still run there: %d\n"
+	if code, out, _ := runClient("", "-server", one.URL, "status"); code != 0 || !strings.Contains(out, fmt.Sprintf(line, 1, 6)) {
+		t.Errorf("got %d %q", code, out)
+	}
+	code, out, _ := runClient("", "-server", one.URL, "-server", two.URL, "status", "-all")
+	if code != 0 || !strings.Contains(out, fmt.Sprintf(line, 0, 5)) {
+		t.Errorf("got %d %q", code, out)
+	}
+}
+
 func TestGetFillsInDefaults(t *testing.T) {
 	document := configuration.Document{Workspaces: map[ports.WorkspaceID]configuration.Workspace{"border": {}}}
 	d := newFakeDaemon(t, respondWith(configuration.Revision{Number: 1, Document: document}))
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -5,6 +5,7 @@
 	"flag"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -27,10 +28,12 @@
 func (*statusCommand) Usage() string {
 	return `status [-all]:
   Print what the first daemon that answers knows: its readiness and revision,
-  the daemons believed live, the owner of each shard, and for each service the
-  calls that wait by workspace, the slots of its own shards and the fairness
-  gap. With -all, ask every server and print one line for each, then each
-  service with the calls that wait and the slots of all of them together.
+  the daemons believed live, the evacuated failure domains with the calls that
+  still run there, the owner of each shard, and for each service the calls that
+  wait by workspace, the slots of its own shards and the fairness gap. With
+  -all, ask every server and print one line for each, then the evacuated
+  domains and each service with the calls that wait and the slots of all of
+  them together.
 `
 }
 
@@ -68,6 +71,7 @@
 	for _, daemon := range status.Daemons {
 		c.printf("  %s (%s, %s) %s\n", daemon.Name, daemon.Domain, daemon.Region, daemon.Address)
 	}
+	c.printEvacuations(status.Evacuations)
 	c.printf("shards: %d\n", len(status.Shards))
 	for _, shard := range status.Shards {
 		c.printf("  %s of %s: owner %s, backend servers %d\n", shard.Shard, shard.Service, shard.Owner, shard.Servers)
@@ -77,6 +81,14 @@
 	}
 }
 
+// printEvacuations prints the evacuated failure domains and what still runs there.
+func (c *statusCommand) printEvacuations(evacuations []ports.EvacuationStatus) {
+	for _, evacuation := range evacuations {
+		c.printf("evacuated: %s since %s, calls that still run there: %d\n",
+			evacuation.Domain, evacuation.Since.UTC().Format(time.RFC3339), evacuation.Running+evacuation.Elsewhere)
+	}
+}
+
 // printService prints one service. The fairness gap is computed from the levels in
 // the given status.
 func (c *statusCommand) printService(service ports.ServiceStatus) {
