Merge evacuation: evacuated failure domains

Limits are updated after evacuations and before waiting calls are resolved, so that calls that wait don't meet the servers of a domain that is taken back before these count as cold.

--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -150,6 +150,10 @@
 		w.refuse(noServerRefusal("no backend server of the service is known"))
 		return true
 	}
+	if pool.IsEvacuatedFor(&w.work) {
+		w.refuse(evacuatedRefusal())
+		return true
+	}
 	if w.work.SoftwareVersion != "" && !pool.HasServerFor(&w.work) {
 		w.refuse(versionGoneRefusal("no other backend server has the software version of the stream"))
 		return true
@@ -265,6 +269,7 @@
 	defer m.mu.Unlock()
 	m.observeVersions(now, isFresh)
 	m.setListFresh(now, isFresh)
+	m.updateEvacuations(now)
 	m.updateLimits(now)
 	m.resolveWaiters(now)
 	m.logShares(now)
@@ -368,6 +373,14 @@
 	}
 }
 
+func evacuatedRefusal() *outcome.Refusal {
+	return &outcome.Refusal{
+		Reason: outcome.ReasonServersEvacuated, End: outcome.NotRun,
+		Detail:     "the failure domains of all backend servers that could run the call are evacuated",
+		RetryAfter: core.RetryAfterEvacuation(rand.Float64()),
+	}
+}
+
 func noServerRefusal(detail string) *outcome.Refusal {
 	return &outcome.Refusal{
 		Reason: outcome.ReasonNoServer, End: outcome.NotRun, Detail: detail,
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -27,12 +27,14 @@
 	"hawthornstream/internal/settings"
 )
 
-// Module provides ports.SlotBroker, ports.SharingView and ports.ServerNotices.
+// Module provides ports.SlotBroker, ports.SharingView, ports.EvacuationView and
+// ports.ServerNotices.
 var Module = fx.Module("dispatch",
 	fx.Provide(
 		NewManager,
 		func(m *Manager) ports.SlotBroker { return m },
 		func(m *Manager) ports.SharingView { return m },
+		func(m *Manager) ports.EvacuationView { return m },
 		func(m *Manager) ports.ServerNotices { return m },
 	),
 	fx.Invoke(func(lifecycle fx.Lifecycle, m *Manager) {
@@ -54,6 +56,8 @@
 	// Settings may be missing: cold servers then bear no more than their warm-up rate, and
 	// regions are known by their VMs alone.
 	Settings *settings.Settings `optional:"true"`
+	// Evacuations may be missing: only the configuration then evacuates domains.
+	Evacuations ports.EvacuationFeed `optional:"true"`
 }
 
 // Manager implements ports.SlotBroker and ports.ServerNotices. It is safe for concurrent use.
@@ -74,6 +78,8 @@
 	configuration         ports.ConfigurationSource
 	warmUp                settings.WarmUp
 	lists                 *listExchange
+	evacuations           *evacuationExchange
+	evacuationCounter     *metrics.CounterVec
 	origins               *originExchange
 	changeSignal          chan struct{}
 	pauseSignal           chan struct{}
@@ -90,7 +96,9 @@
 	// revision is the number of the document, zero before the first.
 	revision configuration.RevisionNumber
 	// knownRegions are the regions of the settings and of all VMs so far.
-	knownRegions     map[ports.Region]bool
+	knownRegions map[ports.Region]bool
+	// evacuated are the failure domains whose servers get no calls.
+	evacuated        core.EvacuatedDomains
 	pools            map[ports.ServiceName]*core.Pool
 	versionHistories map[ports.ServiceName]*streamorigin.VersionHistory
 	notices          *core.Notices
@@ -127,6 +135,8 @@
 		configuration:         p.Configuration,
 		warmUp:                warmUpSettings(p.Settings),
 		lists:                 newListExchange(p.List),
+		evacuations:           newEvacuationExchange(p.Evacuations),
+		evacuationCounter:     metrics.NewCounterVec(scope, "evacuations", "domain", "change"),
 		origins:               newOriginExchange(p.Directory, p.Transport),
 		changeSignal:          make(chan struct{}, 1),
 		pauseSignal:           make(chan struct{}, 1),
@@ -147,6 +157,7 @@
 			m.handleLoadMessage(from, message.(*ports.LoadMessage))
 		})
 	m.registerListHandlers()
+	m.registerEvacuationHandlers()
 	p.Directory.OnChange(m.signalChange)
 	p.Configuration.OnChange(func(*ports.Configuration) { m.signalChange() })
 	return m
@@ -202,6 +213,7 @@
 			period := m.sendLoadMessages(now)
 			m.lockAndUpdate(now)
 			m.updateListWatch(now)
+			m.updateEvacuationWatch(now)
 			reportTimer.Reset(withJitter(period))
 		}
 	}
@@ -252,6 +264,7 @@
 	}
 	now := time.Now()
 	m.setListFresh(now, isFresh)
+	m.updateEvacuations(now)
 	m.updateLimits(now)
 	m.observeVersions(now, isFresh)
 	m.resolveWaiters(now)
--- a/internal/core/dispatch/limits.go
+++ b/internal/core/dispatch/limits.go
@@ -250,7 +250,7 @@
 func (p *Pool) limitSum(work *Work) float64 {
 	sum := 0.0
 	for _, server := range p.servers {
-		if server.allowance != nil && !server.isLeaving() && (work == nil || work.regions.Allows(server.vm.Region)) {
+		if server.allowance != nil && server.takesNewCalls() && (work == nil || work.regions.Allows(server.vm.Region)) {
 			sum += server.allowance.bound.Rate
 		}
 	}
@@ -279,7 +279,7 @@
 }
 
 // UsableCapacity returns what is left of the configured capacity of all engines, in tokens
-// per second, while the requests of some are bounded.
+// per second, while the requests of some are bounded or some are evacuated.
 //
 // Load pattern: limited engines run a fraction of the calls that they could. By the
 // configured capacity every workspace would be within its fair share, and those with the
@@ -294,10 +294,14 @@
 	perEngine, lost := configured/float64(max(engines, 1)), 0.0
 	for _, pool := range pools {
 		for _, server := range pool.servers {
-			if pool.isEngine && server.allowance != nil {
+			switch {
+			case !pool.isEngine:
+			case server.isEvacuated:
+				lost += perEngine
+			case server.allowance != nil:
 				lost += max(perEngine-server.allowance.bound.Rate*pool.meanTokens, 0)
 			}
 		}
 	}
-	return configured - lost
+	return max(configured-lost, 0)
 }
--- a/internal/core/dispatch/prefixes.go
+++ b/internal/core/dispatch/prefixes.go
@@ -78,7 +78,8 @@
 	for i := range locations {
 		location := &locations[i]
 		if location.server == except || now.Sub(location.usedAt) >= cacheLifetime ||
-			location.server.removed || location.server.health.onProbation || !regions.Allows(location.server.vm.Region) {
+			location.server.removed || location.server.isEvacuated || location.server.health.onProbation ||
+			!regions.Allows(location.server.vm.Region) {
 			continue
 		}
 		if best == nil || location.usedAt.After(best.usedAt) {
--- a/internal/core/dispatch/server.go
+++ b/internal/core/dispatch/server.go
@@ -46,6 +46,8 @@
 	allowance  *allowance
 	namesLimit bool
 	warmth
+	// isEvacuated reports whether the server's failure domain is evacuated.
+	isEvacuated bool
 	// removed reports whether the server has left the list.
 	removed bool
 }
@@ -124,6 +126,11 @@
 // mayRun reports whether the server may run the call once its health and its pause
 // permit it.
 func (s *Server) mayRun(work *Work) bool {
+	return !s.isEvacuated && s.suits(work)
+}
+
+// suits reports the same of a server whose failure domain is not evacuated.
+func (s *Server) suits(work *Work) bool {
 	return !s.isLeaving() && work.regions.Allows(s.vm.Region) && !slices.Contains(work.FailedServers, s.vm.Name) &&
 		(work.SoftwareVersion == "" || work.SoftwareVersion == s.vm.SoftwareVersion)
 }
