--- a/internal/core/dispatch/doc.go
+++ b/internal/core/dispatch/doc.go
@@ -11,7 +11,9 @@
 //     so that beyond some load every answer is late;
 //   - fair shares: a few workspaces demand many times their share while the
 //     calls of the others wait behind theirs;
-//   - health: a server is gone, slow or failing before the platform reports it.
+//   - health: a server is gone, slow or failing before the platform reports it;
+//   - limits: a server takes fewer requests per second than there are daemons;
+//   - warm-up: servers return cold and idle, and look best to each daemon.
 //
 // The package has no I/O, clock or lock. It is used by internal/app/dispatch.
 package dispatch
--- a/internal/core/dispatch/limits.go
+++ b/internal/core/dispatch/limits.go
@@ -204,17 +204,19 @@
 	return s.allowance == nil || s.allowance.credit >= s.allowance.share.Burst
 }
 
-// spendAllowance counts a request that is sent to the server.
-func (s *Server) spendAllowance() {
+// spendAllowance counts a request that is sent to the server. It returns the allowance
+// that the request takes from; nil if the server's requests are not bounded.
+func (s *Server) spendAllowance() *allowance {
 	if s.allowance != nil {
 		s.allowance.credit--
 	}
+	return s.allowance
 }
 
 // ReturnUnsent gives back what a call that was not sent took of its server's allowance.
 func (b *Booking) ReturnUnsent() {
-	if b.server.allowance != nil {
-		b.server.allowance.credit++
+	if b.allowance != nil {
+		b.allowance.credit++
 	}
 }
 
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -326,7 +326,7 @@
 	}
 	server.ownLoad = server.ownLoad.Add(booking.load)
 	server.pendingSince = append(server.pendingSince, now)
-	server.spendAllowance()
+	booking.allowance = server.spendAllowance()
 	return booking
 }
 
@@ -338,7 +338,9 @@
 	// pendingTokens the same plus all that were pending before it.
 	promptTokens, pendingTokens int
 	load                        Load
-	hasFirstByte                bool
+	// allowance is what the call took from; nil if nothing.
+	allowance    *allowance
+	hasFirstByte bool
 }
 
 // RecordFirstByte records that the first byte of the answer arrived.
--- a/internal/core/dispatch/warmup_test.go
+++ b/internal/core/dispatch/warmup_test.go
@@ -402,3 +402,20 @@
 		}
 	}
 }
+
+// A call that was booked before its server became cold and is not sent gives nothing back.
+func TestUnsentCallOfWarmServerAddsNothingToAllowance(t *testing.T) {
+	pool, sharing := newEnginePool(1, 64), NewLimitSharing(start.Add(-time.Minute), localVM)
+	sharing.Update(start, nil)
+	pool.SetWarmUp(testWarmUp)
+	pool.ApplyLimits(start, NewNotices(), sharing)
+	work := &Work{ForEngine: true, UniqueTokens: 100, FirstTokenWithin: time.Second}
+	choice, _ := pool.Choose(start, work, AdmissionTerms{})
+	booking := pool.Book(start, choice, work)
+	pool.SetColdUntil(choice.Server.vm.Domain, start.Add(testWarmUp.Within))
+	pool.ApplyLimits(start, NewNotices(), sharing)
+	booking.ReturnUnsent()
+	if free := choice.Server.freeAt(start); !free.After(start) {
+		t.Error("the server takes a call at once, though its allowance begins empty")
+	}
+}
