--- a/testbench/soak/soak.go
+++ b/testbench/soak/soak.go
@@ -28,6 +28,8 @@
 	// SilentServersOnly limits the faults to pauses of backend servers and changes of
 	// the configuration and the settings. No call may then end without an answer.
 	SilentServersOnly bool
+	// Evacuate evacuates a failure domain before the faults and takes it back after them.
+	Evacuate bool
 	// Directory is an existing directory for the daemons' settings and logs.
 	Directory string
 	// Logf reports each injected fault. It may be nil.
@@ -72,6 +74,10 @@
 	// still be in progress there.
 	replacedServers []*backendServer
 	limitedServers  []limitedServer
+	// evacuated is the evacuated failure domain, empty for none, whose servers must get no
+	// requests from evacuationDeadline on.
+	evacuated          string
+	evacuationDeadline time.Time
 	// interruptions are the times at which daemons started or went on after a pause.
 	interruptions        []time.Time
 	daemons              []*daemon
@@ -122,9 +128,15 @@
 	if !r.options.SilentServersOnly {
 		r.limitServers()
 	}
+	if r.options.Evacuate {
+		r.evacuate()
+	}
 	r.injectFaults()
 	r.endLimits()
 	r.checkRecovery()
+	if r.options.Evacuate {
+		r.endEvacuation()
+	}
 	cancel()
 	callers.Wait()
 	return Result{
@@ -198,6 +210,9 @@
 	addresses := platformtest.NewAddresses()
 	path := filepath.Join(r.options.Directory, name+".json")
 	text := platformtest.Settings(name, "http://"+link.Address(), addresses)
+	if r.options.Evacuate {
+		text = withEvacuations(text)
+	}
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -210,14 +225,20 @@
 // of the software versions in turn.
 func (r *soakRun) addServer(service string) {
 	r.startedServers++
-	name := fmt.Sprintf("i-%s-%d", service, r.startedServers)
-	zone, version := fmt.Sprintf("z%d", 1+r.startedServers%2), fmt.Sprintf("v%d", 1+r.startedServers/2%softwareVersions)
+	name, zone := fmt.Sprintf("i-%s-%d", service, r.startedServers), fmt.Sprintf("z%d", 1+r.startedServers%2)
+	if r.options.Evacuate {
+		zone = evacuationZone(r.startedServers)
+	}
+	version := fmt.Sprintf("v%d", 1+r.startedServers/2%softwareVersions)
 	server := newBackendServer(name, service, zone, version, r.checker)
 	r.servers = append(r.servers, server)
 	server.listedAddress, server.state = server.Address(), stateReady
 	if link, err := r.network.AddLink("daemons", server.Name, server.Address(), 0); err == nil {
 		server.listedAddress = link.Address()
 	}
+	if r.evacuated != "" && zone == r.evacuated {
+		r.checker.setDrainDeadline(name, r.evacuationDeadline)
+	}
 	r.writeServer(server)
 }
 
--- a/testbench/soak/soak_test.go
+++ b/testbench/soak/soak_test.go
@@ -67,6 +67,29 @@
 	}
 }
 
+// While one failure domain is evacuated, no fault lets calls reach its servers, and they
+// are used again when it is taken back.
+func TestEvacuationHoldsUnderFaults(t *testing.T) {
+	for _, seed := range []uint64{21, 22, 23} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			result, err := Run(Options{
+				Seed: seed, Daemons: 3, Callers: 8, ServersPerService: 4, FaultDuration: 14 * time.Second, Directory: t.TempDir(),
+				Evacuate: true,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, violation := range result.Violations {
+				t.Error(violation)
+			}
+			if result.CompletedCalls == 0 {
+				t.Error("no call was completed")
+			}
+		})
+	}
+}
+
 // A daemon that ignores the limit of a server would not be seen.
 func TestExcessOverLimitIsDetected(t *testing.T) {
 	began := time.Now()
