backendhttp: match load reports with their requests

A server that sends a second copy of an answer late, on a connection that is in use again for GET /v1/load, had the copy read as its load report. Requests for load reports carried no ID. They do now, and an answer that names another ID is refused and its connection closed; answers without an ID are accepted as before.

--- a/internal/adapters/backendhttp/client.go
+++ b/internal/adapters/backendhttp/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -49,6 +50,8 @@
 	opened, closedCounter *metrics.CounterVec
 	// invalidRetryAfter counts the answers with an invalid Retry-After by problem.
 	invalidRetryAfter *metrics.CounterVec
+	// loadRequests numbers the requests for load reports.
+	loadRequests atomic.Uint64
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the oldest first.
--- a/internal/adapters/backendhttp/errors.go
+++ b/internal/adapters/backendhttp/errors.go
@@ -75,6 +75,17 @@
 	return fmt.Sprintf("the answer has more than %d bytes", e.Limit)
 }
 
+// AnswerMismatchError reports an answer that names another request, such as a second
+// copy of an earlier answer on the same connection.
+type AnswerMismatchError struct {
+	Address string
+}
+
+// Error implements error.
+func (e *AnswerMismatchError) Error() string {
+	return "the answer of " + e.Address + " names another request"
+}
+
 // NoLoadReportError reports that a backend server answered without a valid load
 // report.
 type NoLoadReportError struct {
--- a/internal/adapters/backendhttp/load.go
+++ b/internal/adapters/backendhttp/load.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"hawthornstream/internal/ports"
@@ -23,8 +24,9 @@
 )
 
 // Load fetches a server's load report over any connection. It fails with
-// *NoLoadReportError if the server answers without a valid report, and otherwise
-// with the errors of Do and Exchange.ReadAll.
+// *NoLoadReportError if the server answers without a valid report, with
+// *AnswerMismatchError if the answer names another request, and otherwise with the
+// errors of Do and Exchange.ReadAll.
 func (c *Client) Load(ctx context.Context, server ports.VM) (ports.LoadReport, error) {
 	return c.load(ctx, server, false)
 }
@@ -36,19 +38,25 @@
 	_, err := c.load(ctx, server, true)
 	var noReport *NoLoadReportError
 	var tooLarge *AnswerTooLargeError
-	return err == nil || errors.As(err, &noReport) || errors.As(err, &tooLarge)
+	var mismatch *AnswerMismatchError
+	return err == nil || errors.As(err, &noReport) || errors.As(err, &tooLarge) || errors.As(err, &mismatch)
 }
 
 func (c *Client) load(ctx context.Context, server ports.VM, forceNew bool) (ports.LoadReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadReportTimeout)
 	defer cancel()
+	id := ports.RequestID("load-" + strconv.FormatUint(c.loadRequests.Add(1), 10))
 	exchange, err := c.Do(ctx, &Request{
-		Address: server.Address, Method: http.MethodGet, Target: loadTarget, Header: make(http.Header), ForceNewConnection: forceNew,
+		Address: server.Address, Method: http.MethodGet, Target: loadTarget,
+		Header: http.Header{HeaderRequestID: {string(id)}}, ForceNewConnection: forceNew,
 	})
 	if err != nil {
 		return ports.LoadReport{}, err
 	}
 	defer exchange.Abort()
+	if exchange.Response.Header.Get(HeaderRequestID) != "" && !exchange.AnswersRequest(id) {
+		return ports.LoadReport{}, &AnswerMismatchError{Address: server.Address}
+	}
 	body, err := exchange.ReadAll(maxControlAnswerBytes)
 	if err != nil {
 		return ports.LoadReport{}, err
