backendhttp: count events and bodies as progress, not bytes

A stalled server that sends a comment line, a part of an event or header, or an interim answer now and then kept its call on the platform until the deadline, although another server could have taken it: any received byte ended the silence. What ends it is now part of the request: a whole event for streams, a byte of the body for other calls; the own interface counts bytes as before.

--- a/internal/adapters/backendhttp/client_test.go
+++ b/internal/adapters/backendhttp/client_test.go
@@ -151,7 +151,7 @@
 	client, server := net.Pipe()
 	defer func() { _ = server.Close() }()
 	conn := newTrackedConn(client)
-	conn.beginRequest(time.Now())
+	conn.beginRequest(time.Now(), ProgressByte)
 	if conn.disableWrites() {
 		t.Fatal("disableWrites reports a write before the first one")
 	}
@@ -165,7 +165,7 @@
 func TestBlockedWriteCountsAsMaybeSent(t *testing.T) {
 	client, server := net.Pipe()
 	conn := newTrackedConn(client)
-	conn.beginRequest(time.Now())
+	conn.beginRequest(time.Now(), ProgressByte)
 	written := make(chan struct{})
 	go func() {
 		_, _ = conn.Write([]byte("blocked"))
@@ -293,7 +293,7 @@
 	const timeout = 10 * time.Millisecond
 	now := time.Now()
 	conn := newTrackedConn(client)
-	conn.beginRequest(now.Add(-time.Minute))
+	conn.beginRequest(now.Add(-time.Minute), ProgressByte)
 	late := &silenceWatchdog{conn: conn, timeout: timeout, dueAt: now.Add(-time.Minute), timer: time.AfterFunc(time.Hour, func() {})}
 	late.check()
 	if conn.closedAsSilent.Load() {
--- a/internal/adapters/backendhttp/conn.go
+++ b/internal/adapters/backendhttp/conn.go
@@ -10,7 +10,7 @@
 )
 
 // trackedConn records whether a write of the current request was started, and
-// when the last byte was received. It can refuse further writes.
+// when its answer last made progress. It can refuse further writes.
 type trackedConn struct {
 	net.Conn
 
@@ -20,12 +20,14 @@
 	writesDisabled bool
 
 	closedAsSilent atomic.Bool
-	// createdAt is the origin of lastRead. It has a monotonic reading, so that steps
+	// countsBytes is true if each received byte is progress of the current request.
+	countsBytes atomic.Bool
+	// createdAt is the origin of lastProgress. It has a monotonic reading, so that steps
 	// of the system clock don't count as silence.
 	createdAt time.Time
-	// lastRead is the time from createdAt to the last received byte, or to the start
-	// of the current request.
-	lastRead atomic.Int64
+	// lastProgress is the time from createdAt to the last progress of the answer, or to
+	// the start of the current request.
+	lastProgress atomic.Int64
 }
 
 func newTrackedConn(conn net.Conn) *trackedConn {
@@ -33,15 +35,16 @@
 }
 
 // beginRequest resets the records for a new request.
-func (c *trackedConn) beginRequest(now time.Time) {
+func (c *trackedConn) beginRequest(now time.Time, progress Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeStarted = false
-	c.recordRead(now)
+	c.countsBytes.Store(progress == ProgressByte)
+	c.recordProgress(now)
 }
 
-func (c *trackedConn) recordRead(now time.Time) {
-	c.lastRead.Store(int64(now.Sub(c.createdAt)))
+func (c *trackedConn) recordProgress(now time.Time) {
+	c.lastProgress.Store(int64(now.Sub(c.createdAt)))
 }
 
 // disableWrites makes every later write fail and reports whether an earlier one
@@ -77,16 +80,16 @@
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.recordRead(time.Now())
+	if n > 0 && c.countsBytes.Load() {
+		c.recordProgress(time.Now())
 	}
 	return n, err
 }
 
-// silentFor returns the time since the last received byte, or since the start of
-// the current request if that is later.
+// silentFor returns the time since the last progress of the answer, or since the start
+// of the current request if that is later.
 func (c *trackedConn) silentFor(now time.Time) time.Duration {
-	return now.Sub(c.createdAt) - time.Duration(c.lastRead.Load())
+	return now.Sub(c.createdAt) - time.Duration(c.lastProgress.Load())
 }
 
 // isQuiet reports whether the connection is open and has no bytes to read, as far
@@ -103,7 +106,7 @@
 	return tcpstate.Peek(c.Conn) == tcpstate.Readable
 }
 
-// closeAsSilent closes the connection because it received nothing in time.
+// closeAsSilent closes the connection because its answer made no progress in time.
 func (c *trackedConn) closeAsSilent() {
 	c.closedAsSilent.Store(true)
 	_ = c.Conn.Close()
--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -35,18 +35,35 @@
 	// reused for it only if it was idle for less than this time and the kernel
 	// reports it as open just before. Zero means no such conditions.
 	MaxIdleTime time.Duration
-	// SilenceTimeout is the time without a received byte after which
-	// ShouldCloseSilent is called; zero disables this check.
+	// SilenceTimeout is the time without progress after which ShouldCloseSilent is
+	// called; zero disables this check.
 	SilenceTimeout time.Duration
-	// ShouldCloseSilent decides whether to close a connection that has received
-	// nothing for the given time. It is called on another goroutine, and again
+	// ShouldCloseSilent decides whether to close a connection that has made no
+	// progress for the given time. It is called on another goroutine, and again
 	// after each further SilenceRecheck. If it is nil, the connection is closed.
 	ShouldCloseSilent func(silence time.Duration) bool
 	// SilenceRecheck is the time between two calls of ShouldCloseSilent; zero for
 	// SilenceTimeout.
 	SilenceRecheck time.Duration
+	// Progress is what ends the silence of the connection.
+	Progress Progress
 }
 
+// Progress is what counts as progress of an answer.
+type Progress uint8
+
+// The kinds of progress.
+const (
+	// ProgressByte is any received byte.
+	ProgressByte Progress = iota
+	// ProgressBody is any byte of the body. A server that sends a header or the framing
+	// of a body byte by byte makes none.
+	ProgressBody
+	// ProgressEvent is a call of Exchange.RecordEvent. A server that sends comments or
+	// parts of an event makes none.
+	ProgressEvent
+)
+
 // Exchange is a request whose answer's header was received and whose body is
 // still to be read. It must be ended by Finish or Abort.
 type Exchange struct {
@@ -57,7 +74,9 @@
 	watchdog *silenceWatchdog
 	// maxIdleConnections is Request.MaxIdleConnections.
 	maxIdleConnections int
-	ended              bool
+	// progress is Request.Progress.
+	progress Progress
+	ended    bool
 }
 
 // Do sends a request at most once and returns when the header of the answer was
@@ -90,10 +109,10 @@
 		c.closeConn(conn, closeReasonAborted)
 		return nil, &ExchangeError{Address: request.Address, Cause: err}
 	}
-	conn.tracked.beginRequest(time.Now())
+	conn.tracked.beginRequest(time.Now(), request.Progress)
 	exchange := &Exchange{
 		client: c, conn: conn, watchdog: startSilenceWatchdog(conn.tracked, request),
-		maxIdleConnections: request.MaxIdleConnections,
+		maxIdleConnections: request.MaxIdleConnections, progress: request.Progress,
 	}
 	response, err := conn.httpConn.RoundTrip(httpRequest)
 	if err != nil {
@@ -147,6 +166,9 @@
 // body and fails with *ExchangeError otherwise.
 func (e *Exchange) Read(p []byte) (int, error) {
 	n, err := e.Response.Body.Read(p)
+	if n > 0 && e.progress == ProgressBody {
+		e.conn.tracked.recordProgress(time.Now())
+	}
 	if err == nil || errors.Is(err, io.EOF) {
 		return n, err
 	}
@@ -155,6 +177,11 @@
 	}
 }
 
+// RecordEvent records that a whole event of the answer was received.
+func (e *Exchange) RecordEvent(now time.Time) {
+	e.conn.tracked.recordProgress(now)
+}
+
 // ReadAll reads a body of at most limit bytes. Errors are of type *ExchangeError
 // or, for a longer body, *AnswerTooLargeError.
 func (e *Exchange) ReadAll(limit int64) ([]byte, error) {
@@ -222,8 +249,7 @@
 	}
 }
 
-// silenceWatchdog closes a connection that receives nothing for its timeout,
-// unless shouldClose keeps it open.
+// silenceWatchdog closes a connection that makes no progress for its timeout, unless shouldClose keeps it open.
 type silenceWatchdog struct {
 	conn        *trackedConn
 	timeout     time.Duration
@@ -264,16 +290,20 @@
 		w.reschedule(w.timeout - silence)
 		return
 	}
-	if w.firedLate(now) || w.conn.hasUnreadBytes() {
+	if w.firedLate(now) {
 		w.reschedule(w.timeout)
 		return
 	}
+	if w.conn.hasUnreadBytes() {
+		w.reschedule(w.recheck)
+		return
+	}
 	if w.shouldClose != nil && !w.shouldClose(silence) {
 		w.reschedule(w.recheck)
 		return
 	}
 	if w.conn.silentFor(time.Now()) < w.timeout {
-		// A byte arrived during the decision.
+		// The answer made progress during the decision.
 		w.reschedule(w.recheck)
 		return
 	}
--- a/internal/adapters/backendhttp/silence_linux_test.go
+++ b/internal/adapters/backendhttp/silence_linux_test.go
@@ -21,7 +21,7 @@
 	waitUntil(t, func() bool { return tcpstate.Peek(conn) == tcpstate.Readable })
 	const timeout = time.Second
 	now := time.Now()
-	tracked.beginRequest(now.Add(-timeout))
+	tracked.beginRequest(now.Add(-timeout), ProgressByte)
 	watchdog := &silenceWatchdog{conn: tracked, timeout: timeout, dueAt: now, timer: time.AfterFunc(time.Hour, func() {})}
 	defer watchdog.stop()
 	watchdog.check()
