--- a/internal/adapters/callerhttp/listener_stop_test.go
+++ b/internal/adapters/callerhttp/listener_stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -50,7 +51,7 @@
 		waiting.Add(1)
 		answered.Go(func() {
 			request := newRequest(t, http.MethodPost, "http://"+inner.Addr().String()+"/services/registry/x", "")
-			transport := &http.Transport{DisableKeepAlives: true, Dial: func(string, string) (net.Conn, error) { return conn, nil }}
+			transport := &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) { return conn, nil }}
 			waiting.Done()
 			if response, err := transport.RoundTrip(request); err == nil {
 				statuses[i] = response.StatusCode
