execution: keep a silent run until its replacement is accepted

A repeatable call whose server sends nothing for a while was closed as soon as another try had a slot and the retry budget. Where that try's server declined the call or accepted no connection, streams were cut and plain calls got 502, although the first server would have gone on. A slot was taken for acceptance.

The other try now runs beside the silent run. The run is cancelled when the other server has accepted the call: with the header of a stream, so that both never work on it for long, or with the whole of another answer. If the silent run makes progress first, or the other try fails, the call goes on where it was. Only one of them is relayed. A try that was sent is charged to the retry budget; calls that may run only once never get one.

TestSilentTryIsAbandonedOnlyForAnotherTry and TestUnmadeRetryIsNotCharged tested the closing of the silent run first; their cases are in TestSilentRunGoesOnUntilReplacementIsAccepted, TestUnsentReplacementIsNotCharged and TestUnbegunReplacementIsNotCharged, which also require that the run goes on where the other server declines.

--- a/internal/adapters/backendhttp/client.go
+++ b/internal/adapters/backendhttp/client.go
@@ -153,9 +153,9 @@
 	c.closeConns(unusable, closeReasonIdleEnded)
 }
 
-// dropIdle closes the idle connections to an address after another one has gone
+// DropIdle closes the idle connections to an address after another one has gone
 // silent: what lies between may have lost track of them all.
-func (c *Client) dropIdle(address string) {
+func (c *Client) DropIdle(address string) {
 	c.mu.Lock()
 	conns := c.idle[address]
 	delete(c.idle, address)
--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -242,7 +242,7 @@
 	e.watchdog.stop()
 	e.client.closeConn(e.conn, closeReasonAborted)
 	if e.conn.tracked.closedAsSilent.Load() {
-		e.client.dropIdle(e.conn.address)
+		e.client.DropIdle(e.conn.address)
 	}
 	if e.Response != nil {
 		_ = e.Response.Body.Close()
--- a/internal/app/execution/reporter.go
+++ b/internal/app/execution/reporter.go
@@ -20,6 +20,7 @@
 	eventRetried = "call-retried"
 	eventGivenUp = "call-given-up"
 	eventKept    = "silent-run-kept"
+	eventReplace = "silent-run-replacement"
 	eventEnded   = "call-ended"
 )
 
@@ -34,6 +35,7 @@
 	retriesOverBudget *metrics.CounterVec
 	answersCut        *metrics.CounterVec
 	silentTriesKept   *metrics.CounterVec
+	replacements      *metrics.CounterVec
 	queueTimes        *metrics.DurationHistogramVec
 	firstByteTimes    *metrics.DurationHistogramVec
 	longestPauses     *metrics.DurationHistogramVec
@@ -49,6 +51,7 @@
 		retries:           metrics.NewCounterVec(scope, "retries", "reason", "service"),
 		retriesOverBudget: metrics.NewCounterVec(scope, "retries_over_budget", "reason", "service"),
 		silentTriesKept:   metrics.NewCounterVec(scope, "silent_runs_kept", "cause", "service"),
+		replacements:      metrics.NewCounterVec(scope, "silent_run_replacements", "end", "service"),
 		answersCut:        metrics.NewCounterVec(scope, "answers_cut", "reason", "service"),
 		queueTimes:        metrics.NewDurationHistogramVec(scope, "queue_seconds", "service"),
 		firstByteTimes:    metrics.NewDurationHistogramVec(scope, "first_byte_seconds", "service"),
@@ -131,11 +134,11 @@
 		Int("failedTries", len(call.FailedServers)).Msg("")
 }
 
-// keptCause is why a try whose connection is silent is not abandoned.
+// keptCause is why no other try begins beside a silent one.
 type keptCause string
 
 const (
-	// keptNotAllowed means that another try is not allowed: see retry.MayAbandonSilent.
+	// keptNotAllowed means that another try is not allowed: see retry.MayReplaceSilent.
 	keptNotAllowed keptCause = "not-allowed"
 	// keptNoSlot means that no other backend server can take the call.
 	keptNoSlot keptCause = "no-slot"
@@ -153,6 +156,30 @@
 		Str("cause", string(cause)).Dur("silence", silence).Msg("")
 }
 
+// replacementEnd is how the try ended that was begun beside a silent run.
+type replacementEnd string
+
+const (
+	// replacementAdmitted means that the try took the place of the run.
+	replacementAdmitted replacementEnd = "admitted"
+	// replacementFailed means that its server did not accept the call.
+	replacementFailed replacementEnd = "failed"
+	// replacementUnneeded means that the run made progress or ended first.
+	replacementUnneeded replacementEnd = "unneeded"
+	// replacementSilent means that its server was silent too and a further try began.
+	replacementSilent replacementEnd = "silent"
+)
+
+// replacementEnded reports the end of a try that was begun beside a silent run.
+func (r *callReporter) replacementEnded(call *ports.Call, end replacementEnd) {
+	r.replacements.Inc(string(end), string(call.Service))
+	if !r.limiter.Allow(eventReplace, string(end)) {
+		return
+	}
+	r.log.Info().Str("event", eventReplace).Str("request", string(call.ID)).Str("service", string(call.Service)).
+		Str("end", string(end)).Int("failedTries", len(call.FailedServers)).Msg("")
+}
+
 // callEnded reports how a call ended. begun says that the caller may have received a
 // part of the answer; a refusal then cuts the answer.
 func (r *callReporter) callEnded(now time.Time, call *ports.Call, result outcome.Result, begun bool) {
--- a/internal/app/execution/retryloop.go
+++ b/internal/app/execution/retryloop.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -21,39 +22,53 @@
 	maxBackoff     = time.Second
 )
 
-// retryLoop runs one call, try after try. It is not safe for concurrent use.
+// retryLoop runs one call, try after try. While the run of a try is silent, another try may
+// run beside it.
 type retryLoop struct {
 	executor *Executor
 	backend  ports.Backend
-	call     *ports.Call
 	sink     ports.AnswerSink
 	trace    *callTrace
+	backoff  *backoff.ExponentialBackOff
+	// runCtx is the context of the runs.
+	runCtx context.Context
 
-	// end is the merged run state of all tries so far.
+	// mu guards the fields below while a try is in progress.
+	mu sync.Mutex
+	// call is the caller's call with what its tries have shown.
+	call *ports.Call
+	// begun is true once the caller may have received a byte.
+	begun bool
+	// end is the merged run state of all tries that have ended.
 	end   outcome.RunState
 	tries int
 	// sentTries counts the tries in which the request may have left this daemon.
 	sentTries int
-	// nextSlot is the slot of the next try if the last one was abandoned for it.
-	nextSlot ports.Slot
-	backoff  *backoff.ExponentialBackOff
+	// relaying is the try whose answer is relayed; nil between tries. replacement is a
+	// try beside it that takes its place once its server accepts the call; nil for none.
+	relaying, replacement *try
 }
 
 // run tries the call until it has an answer or must not be retried.
 func (r *retryLoop) run(ctx context.Context) outcome.Result {
 	r.executor.budgets.recordFirstTry(r.call.Service, time.Now())
+	var cancel context.CancelFunc
+	r.runCtx, cancel = r.runContext(ctx)
+	defer cancel()
 	for {
-		last, refusal := r.tryOnce(ctx)
+		refusal := r.beginTry(ctx)
 		if refusal != nil {
 			return r.refuse(refusal)
 		}
+		last := r.endTry(ctx, r.relaying.run())
+		for last.Reason != "" && r.relaying != nil {
+			// A replacement has taken the place of the try.
+			r.executor.reporter.callRetried(r.call, last, 0)
+			last = r.endTry(ctx, <-r.relaying.result)
+		}
 		if last.Reason == "" {
 			return outcome.Result{End: last.End}
 		}
-		if r.nextSlot != nil {
-			r.executor.reporter.callRetried(r.call, last, 0)
-			continue
-		}
 		if !r.waitForRetry(ctx, last) {
 			return r.giveUp(last)
 		}
@@ -74,55 +89,51 @@
 	return outcome.Result{End: retry.MergeRunStates(r.end, last.End)}
 }
 
-// tryOnce acquires a slot and runs the call once. It returns a refusal if the call was
-// not sent, because there was no slot or its caller or deadline was gone.
-func (r *retryLoop) tryOnce(ctx context.Context) (ports.RunResult, *outcome.Refusal) {
-	slot, err := r.acquire(ctx)
+// beginTry acquires a slot and makes its try the one that is relayed. It returns a refusal
+// if the call can't be sent, because there was no slot or its caller or deadline is gone.
+func (r *retryLoop) beginTry(ctx context.Context) *outcome.Refusal {
+	call := *r.call
+	slot, err := r.executor.broker.Acquire(ctx, &call)
 	if err != nil {
-		return ports.RunResult{}, refusalFromError(err)
+		return refusalFromError(err)
 	}
-	r.tries++
-	server := slot.Server()
-	r.trace.addEvent(time.Now(), "slot", slotDetail(server, slot.GrantDetails()))
-	r.executor.reporter.callPlaced(r.call, server, slot.GrantDetails())
 	if ctx.Err() != nil || r.sink.CallerGone() {
 		slot.Release(ports.RunReport{})
-		return ports.RunResult{}, notSentRefusal(ctx)
+		return notSentRefusal(ctx)
 	}
-	runCtx, cancel := r.runContext(ctx)
-	defer cancel()
-	call := r.callForTry()
-	call.CacheHolder = slot.GrantDetails().CacheHolder
-	silent := r.newSilentTry(server)
-	call.MayAbandonSilent = silent.mayAbandon
-	result := r.backend.Run(runCtx, call, server, r.sink, slot.Progress)
-	result.Report.Reason = result.Reason
-	slot.Release(result.Report)
-	r.recordTry(server, result)
-	r.keepNextSlot(silent.end(), result)
-	return result, nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.relaying = r.newTryLocked(slot)
+	r.relaying.ctx, r.relaying.cancel = context.WithCancelCause(r.runCtx)
+	r.reportPlaced(r.relaying)
+	return nil
 }
 
-// acquire returns the slot that the last try was abandoned for, or a new one.
-func (r *retryLoop) acquire(ctx context.Context) (ports.Slot, error) {
-	if slot := r.nextSlot; slot != nil {
-		r.nextSlot = nil
-		return slot, nil
-	}
-	return r.executor.broker.Acquire(ctx, r.call)
+// reportPlaced reports the slot of a try that is about to be sent.
+func (r *retryLoop) reportPlaced(t *try) {
+	server, details := t.slot.Server(), t.slot.GrantDetails()
+	r.trace.addEvent(time.Now(), "slot", slotDetail(server, details))
+	r.executor.reporter.callPlaced(t.call, server, details)
 }
 
-// keepNextSlot keeps the slot of the next try if the run was abandoned for it, and else
-// releases it: the run may have ended otherwise just before.
-func (r *retryLoop) keepNextSlot(slot ports.Slot, result ports.RunResult) {
-	if slot == nil {
-		return
+// endTry records the result of the try that was relayed. If the try failed, its replacement
+// takes its place, and is dropped otherwise.
+func (r *retryLoop) endTry(ctx context.Context, result ports.RunResult) ports.RunResult {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recordTryLocked(r.relaying, result)
+	r.relaying = nil
+	if r.replacement == nil {
+		return result
 	}
-	if result.Reason != outcome.ReasonConnectionSilent {
-		r.executor.releaseUnused(r.call.Service, slot)
-		return
+	if result.Reason == "" || ctx.Err() != nil {
+		r.dropReplacementLocked(replacementUnneeded)
+		return result
 	}
-	r.nextSlot = slot
+	r.relaying, r.replacement = r.replacement, nil
+	close(r.relaying.admitted)
+	r.executor.reporter.replacementEnded(r.call, replacementAdmitted)
+	return result
 }
 
 func slotDetail(server ports.VM, details ports.GrantDetails) string {
@@ -144,24 +155,24 @@
 // a request ID of its own, so that a late answer to an earlier try is not taken for
 // its answer.
 func (r *retryLoop) callForTry() *ports.Call {
-	if r.sentTries == 0 || r.call.KeepRequestID {
-		return r.call
-	}
 	copied := *r.call
-	copied.ID = ports.RequestID(string(r.call.ID) + "." + strconv.Itoa(r.sentTries+1))
+	if r.sentTries > 0 && !r.call.KeepRequestID {
+		copied.ID = ports.RequestID(string(r.call.ID) + "." + strconv.Itoa(r.sentTries+1))
+	}
 	return &copied
 }
 
-// recordTry adds the result of a try to the state of the call, its trace, the log and
-// the metrics.
-func (r *retryLoop) recordTry(server ports.VM, result ports.RunResult) {
+// recordTryLocked adds the result of a try to the state of the call, its trace, the log and
+// the metrics. The caller holds the mutex.
+func (r *retryLoop) recordTryLocked(t *try, result ports.RunResult) {
+	server := t.slot.Server()
 	r.end = retry.MergeRunStates(r.end, result.End)
 	r.executor.reporter.callRan(r.call, server, result)
-	if maybeSent(result) {
-		r.sentTries++
+	if !maybeSent(result) {
+		r.sentTries--
 	}
 	r.call.LastEventID = max(r.call.LastEventID, result.LastEventID)
-	if r.call.IsResumption() || r.sink.Begun() {
+	if r.call.IsResumption() || r.begun {
 		// The broker gave a resumption a server of the version that began its stream.
 		r.call.SoftwareVersion = server.SoftwareVersion
 	}
--- a/internal/app/execution/try_test.go
+++ b/internal/app/execution/try_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -27,54 +29,198 @@
 	return slot, err == nil
 }
 
-// A run on a silent connection goes on unless another try has a slot and the budget. The
-// retry is charged once, and no slot is lost.
-func TestSilentTryIsAbandonedOnlyForAnotherTry(t *testing.T) {
-	silent := runResult(outcome.Ran, outcome.ReasonConnectionSilent)
+func (b *immediateBroker) hasReleasedAll() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.acquired == b.released
+}
+
+// scriptedRun is what a backend server does with a call.
+type scriptedRun func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) ports.RunResult
+
+// scriptedBackend runs its scripts in order.
+type scriptedBackend struct {
+	ports.Backend
+	mu   sync.Mutex
+	runs []scriptedRun
+	sent int
+}
+
+func (b *scriptedBackend) Run(
+	ctx context.Context, call *ports.Call, _ ports.VM, sink ports.AnswerSink, _ func(ports.Cost),
+) ports.RunResult {
+	b.mu.Lock()
+	run := b.runs[b.sent]
+	b.sent++
+	b.mu.Unlock()
+	return run(ctx, call, sink)
+}
+
+// answerText writes the text as the whole answer.
+func answerText(sink ports.AnswerSink, text string) ports.RunResult {
+	if sink.Begin(200, nil) != nil || sink.Write([]byte(text)) != nil {
+		return runResult(outcome.Ran, outcome.ReasonCallerGone)
+	}
+	return ports.RunResult{End: outcome.Ran}
+}
+
+// silentUntil is the script of a run that is silent until the channel is closed and then
+// answers.
+func silentUntil(goesOn <-chan struct{}) scriptedRun {
+	return func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) ports.RunResult {
+		call.Supervisor.RecordSilence(time.Second)
+		select {
+		case <-goesOn:
+			return answerText(sink, "first")
+		case <-ctx.Done():
+			if !errors.Is(context.Cause(ctx), ports.ErrRunReplaced) {
+				return runResult(outcome.Unknown, outcome.ReasonInternal)
+			}
+			return runResult(outcome.Unknown, outcome.ReasonCallerGone)
+		}
+	}
+}
+
+// executeScripts executes a repeatable call with a retry budget of the given number. It
+// returns the result, the answer and the number of runs, when all slots are released.
+func executeScripts(t *testing.T, hasSlots bool, retries int, runs ...scriptedRun) (outcome.Result, string, int) {
+	t.Helper()
+	broker := &immediateBroker{fakeBroker: &fakeBroker{}, hasSlots: hasSlots}
+	backend := &scriptedBackend{runs: runs}
+	executor := NewExecutor(Params{
+		Logger: discardLogger(), Scope: tally.NoopScope, Broker: broker,
+		Backends: Backends{configuration.ServiceKindPlain: backend}, Keys: newFakeKeys(), MaxAnswerBytes: 1 << 10,
+		RetryPolicy: func() retry.Policy { return retry.Policy{MinRetries: retries} },
+	})
+	sink := new(fakeSink)
+	result := executor.Execute(context.Background(), newCall("r1", true), sink)
+	for deadline := time.Now().Add(10 * time.Second); !broker.hasReleasedAll(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d slots acquired, %d released", broker.acquired, broker.released)
+		}
+	}
+	backend.mu.Lock()
+	defer backend.mu.Unlock()
+	return result, string(sink.body), backend.sent
+}
+
+// A silent run goes on until the server of another try has accepted the call. Exactly one
+// of the two is relayed, and no slot is lost.
+func TestSilentRunGoesOnUntilReplacementIsAccepted(t *testing.T) {
 	cases := map[string]struct {
-		hasSlots  bool
-		retries   int
-		first     ports.RunResult
-		abandoned bool
-		runs      int
+		hasSlots bool
+		retries  int
+		// replacement ends or answers; it closes goesOn to let the first run answer.
+		replacement func(goesOn chan struct{}) scriptedRun
+		answer      string
+		runs        int
 	}{
-		"no other server":      {false, 1, ports.RunResult{End: outcome.Ran}, false, 1},
-		"no budget":            {true, 0, ports.RunResult{End: outcome.Ran}, false, 1},
-		"another try":          {true, 1, silent, true, 2},
-		"ended just before it": {true, 1, ports.RunResult{End: outcome.Ran}, true, 1},
+		"no other server": {false, 1, nil, "first", 1},
+		"no budget":       {true, 0, nil, "first", 1},
+		"accepted": {true, 1, func(chan struct{}) scriptedRun {
+			return func(_ context.Context, _ *ports.Call, sink ports.AnswerSink) ports.RunResult {
+				return answerText(sink, "second")
+			}
+		}, "second", 2},
+		"declined": {true, 1, func(goesOn chan struct{}) scriptedRun {
+			return func(context.Context, *ports.Call, ports.AnswerSink) ports.RunResult {
+				close(goesOn)
+				return runResult(outcome.NotRun, outcome.ReasonServerOverloaded)
+			}
+		}, "first", 2},
+		"answered too late": {true, 1, func(goesOn chan struct{}) scriptedRun {
+			return func(ctx context.Context, _ *ports.Call, sink ports.AnswerSink) ports.RunResult {
+				close(goesOn)
+				<-ctx.Done()
+				return answerText(sink, "second")
+			}
+		}, "first", 2},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			broker := &immediateBroker{fakeBroker: &fakeBroker{}, hasSlots: c.hasSlots}
-			backend := &fakeBackend{results: []ports.RunResult{c.first}}
-			abandoned := false
-			backend.onRun = func(_ context.Context, call *ports.Call) {
-				if backend.runs() == 1 {
-					abandoned = call.MayAbandonSilent(time.Second)
-				}
+			goesOn := make(chan struct{})
+			scripts := []scriptedRun{silentUntil(goesOn)}
+			if c.replacement == nil {
+				close(goesOn)
+			} else {
+				scripts = append(scripts, c.replacement(goesOn))
 			}
-			executor := NewExecutor(Params{
-				Logger: discardLogger(), Scope: tally.NoopScope, Broker: broker,
-				Backends: Backends{configuration.ServiceKindPlain: backend}, Keys: newFakeKeys(), MaxAnswerBytes: 1 << 10,
-				RetryPolicy: func() retry.Policy { return retry.Policy{MinRetries: c.retries} },
-			})
-			result := executor.Execute(context.Background(), newCall("r1", true), new(fakeSink))
-			if result.Refusal != nil || abandoned != c.abandoned || backend.runs() != c.runs {
-				t.Errorf("got %+v, abandoned %t, %d runs", result, abandoned, backend.runs())
+			result, answer, runs := executeScripts(t, c.hasSlots, c.retries, scripts...)
+			if result.Refusal != nil || answer != c.answer || runs != c.runs {
+				t.Errorf("got %+v, answer %q, %d runs", result, answer, runs)
 			}
-			if broker.acquired != broker.released {
-				t.Errorf("%d slots acquired, %d released", broker.acquired, broker.released)
+		})
+	}
+}
+
+// A run that breaks while its replacement is on the way is continued by the replacement,
+// which was charged already.
+func TestReplacementContinuesForBrokenRun(t *testing.T) {
+	sent := make(chan struct{})
+	result, answer, runs := executeScripts(t, true, 1,
+		func(_ context.Context, call *ports.Call, _ ports.AnswerSink) ports.RunResult {
+			call.Supervisor.RecordSilence(time.Second)
+			<-sent
+			return runResult(outcome.Unknown, outcome.ReasonConnectionBroken)
+		},
+		func(_ context.Context, _ *ports.Call, sink ports.AnswerSink) ports.RunResult {
+			close(sent)
+			return answerText(sink, "second")
+		})
+	if result.Refusal != nil || answer != "second" || runs != 2 {
+		t.Errorf("got %+v, answer %q, %d runs", result, answer, runs)
+	}
+}
+
+// A replacement on a server that accepts no connection sends nothing. The retry budget is
+// left for the next one.
+func TestUnsentReplacementIsNotCharged(t *testing.T) {
+	goesOn := make(chan struct{})
+	result, answer, runs := executeScripts(t, true, 1,
+		func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) ports.RunResult {
+			for ctx.Err() == nil {
+				call.Supervisor.RecordSilence(time.Second)
+				time.Sleep(time.Millisecond)
 			}
+			return runResult(outcome.Unknown, outcome.ReasonCallerGone)
+		},
+		func(context.Context, *ports.Call, ports.AnswerSink) ports.RunResult {
+			return runResult(outcome.NotRun, outcome.ReasonServerUnreachable)
+		},
+		func(_ context.Context, _ *ports.Call, sink ports.AnswerSink) ports.RunResult {
+			close(goesOn)
+			return answerText(sink, "third")
 		})
+	if result.Refusal != nil || answer != "third" || runs != 3 {
+		t.Errorf("got %+v, answer %q, %d runs", result, answer, runs)
 	}
 }
 
-// A retry that was prepared for a silent run, and isn't made because the run ends, leaves
-// its budget to the next call.
-func TestUnmadeRetryIsNotCharged(t *testing.T) {
+// A call that may run only once is never sent to a second server, however long it is silent.
+func TestSilentCallThatRunsOnceIsNotReplaced(t *testing.T) {
+	backend := &scriptedBackend{}
+	backend.runs = []scriptedRun{func(_ context.Context, call *ports.Call, sink ports.AnswerSink) ports.RunResult {
+		call.Supervisor.RecordSilence(time.Minute)
+		return answerText(sink, "first")
+	}}
 	broker := &immediateBroker{fakeBroker: &fakeBroker{}, hasSlots: true}
+	executor := NewExecutor(Params{
+		Logger: discardLogger(), Scope: tally.NoopScope, Broker: broker,
+		Backends: Backends{configuration.ServiceKindPlain: backend}, Keys: newFakeKeys(), MaxAnswerBytes: 1 << 10,
+		RetryPolicy: func() retry.Policy { return retry.Policy{MinRetries: 9} },
+	})
+	executor.Execute(context.Background(), newCall("r1", false), new(fakeSink))
+	if broker.acquired != 1 || backend.sent != 1 {
+		t.Errorf("%d slots, %d runs", broker.acquired, backend.sent)
+	}
+}
+
+// A replacement that was made in vain is charged to the retry budget if its server may have
+// got the call, and leaves the budget to the next call where none was begun.
+func TestUnbegunReplacementIsNotCharged(t *testing.T) {
+	broker := &immediateBroker{fakeBroker: &fakeBroker{}}
 	backend := &fakeBackend{}
-	backend.onRun = func(_ context.Context, call *ports.Call) { call.MayAbandonSilent(time.Second) }
+	backend.onRun = func(_ context.Context, call *ports.Call) { call.Supervisor.RecordSilence(time.Second) }
 	executor := NewExecutor(Params{
 		Logger: discardLogger(), Scope: tally.NoopScope, Broker: broker,
 		Backends: Backends{configuration.ServiceKindPlain: backend}, Keys: newFakeKeys(), MaxAnswerBytes: 1 << 10,
@@ -84,6 +230,6 @@
 	backend.onRun = nil
 	backend.results = []ports.RunResult{runResult(outcome.Unknown, outcome.ReasonConnectionBroken)}
 	if result := executor.Execute(context.Background(), newCall("r2", true), new(fakeSink)); result.Refusal != nil {
-		t.Errorf("the only retry was charged to a run that ended: %v", result.Refusal)
+		t.Errorf("the only retry was charged without a slot: %v", result.Refusal)
 	}
 }
--- a/internal/core/retry/silence_test.go
+++ b/internal/core/retry/silence_test.go
@@ -10,7 +10,7 @@
 	allowed := FailedTry{
 		Repeatable: true, Resumable: true, AnswerBegun: true, MaxSends: 2, Tries: 1, SentTries: 1, TimeLeft: time.Second,
 	}
-	if !MayAbandonSilent(allowed) {
+	if !MayReplaceSilent(allowed) {
 		t.Error("a stream that another server may resume is kept")
 	}
 	for name, change := range map[string]func(*FailedTry){
@@ -22,8 +22,8 @@
 	} {
 		try := allowed
 		change(&try)
-		if MayAbandonSilent(try) {
-			t.Errorf("%s: abandoned", name)
+		if MayReplaceSilent(try) {
+			t.Errorf("%s: replaced", name)
 		}
 	}
 }
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"hawthornstream/internal/core/configuration"
@@ -77,11 +78,8 @@
 	Revision configuration.RevisionNumber
 	// FailedServers are the backend servers on which a try failed.
 	FailedServers []VMName
-	// MayAbandonSilent decides whether a run whose connection has brought no byte
-	// for the given time is abandoned. It returns true only if another try can take
-	// its place. It is safe for concurrent use and is set for each run; nil for
-	// never.
-	MayAbandonSilent func(silence time.Duration) bool
+	// Supervisor is told of the progress of a run. It is set for each run.
+	Supervisor RunSupervisor
 }
 
 // IsResumption reports whether the call continues a stream of which the caller has
@@ -292,6 +290,23 @@
 	RequestsPerSecond float64
 }
 
+// ErrRunReplaced is the cause for which the context of a run is cancelled when another try
+// has taken its place. The connection of the run made no progress.
+var ErrRunReplaced = errors.New("another try has taken the place of the run")
+
+// RunSupervisor decides which of the runs of a call is relayed. A silent run goes on until
+// the backend server of another try has accepted the call. It is safe for concurrent use.
+type RunSupervisor interface {
+	// RecordSilence records that the answer has made no progress for the given time.
+	RecordSilence(silence time.Duration)
+	// Accept records that the backend server has accepted the call, and returns when the
+	// answer may be relayed. It fails if the run is no longer wanted.
+	Accept() error
+	// RecordEvent records that the event with the ID is about to be relayed; zero for an
+	// event without one. If it fails, the event must not be relayed.
+	RecordEvent(id int) error
+}
+
 // RunResult is the result of one run on one backend server.
 type RunResult struct {
 	// End is outcome.NotRun only if no byte of the request was written to a
