--- a/internal/app/execution/try.go
+++ b/internal/app/execution/try.go
@@ -51,6 +51,9 @@
 	t.cancel(nil)
 	result = r.settle(t, result)
 	result.Report.Reason = result.Reason
+	if t.result != nil && !maybeSent(result) {
+		r.executor.budgets.cancelRetry(r.call.Service, time.Now())
+	}
 	t.slot.Release(result.Report)
 	return result
 }
@@ -162,9 +165,6 @@
 	r.replacement = nil
 	r.recordTryLocked(t, result)
 	r.executor.reporter.replacementEnded(r.call, replacementFailed)
-	if !maybeSent(result) {
-		r.executor.budgets.cancelRetry(r.call.Service, time.Now())
-	}
 }
 
 // dropReplacementLocked cancels the replacement, if there is one: it may have run. The
--- a/internal/app/execution/try_test.go
+++ b/internal/app/execution/try_test.go
@@ -215,8 +215,39 @@
 	}
 }
 
-// A replacement that was made in vain is charged to the retry budget if its server may have
-// got the call, and leaves the budget to the next call where none was begun.
+// A replacement that is dropped before it was sent leaves its budget to the next call.
+func TestDroppedUnsentReplacementIsNotCharged(t *testing.T) {
+	goesOn := make(chan struct{})
+	broker := &immediateBroker{fakeBroker: &fakeBroker{}, hasSlots: true}
+	backend := &scriptedBackend{runs: []scriptedRun{
+		silentUntil(goesOn),
+		func(ctx context.Context, _ *ports.Call, _ ports.AnswerSink) ports.RunResult {
+			close(goesOn)
+			<-ctx.Done()
+			return runResult(outcome.NotRun, outcome.ReasonCallerGone)
+		},
+		func(context.Context, *ports.Call, ports.AnswerSink) ports.RunResult {
+			return runResult(outcome.Unknown, outcome.ReasonConnectionBroken)
+		},
+		func(_ context.Context, _ *ports.Call, sink ports.AnswerSink) ports.RunResult {
+			return answerText(sink, "again")
+		},
+	}}
+	executor := NewExecutor(Params{
+		Logger: discardLogger(), Scope: tally.NoopScope, Broker: broker,
+		Backends: Backends{configuration.ServiceKindPlain: backend}, Keys: newFakeKeys(), MaxAnswerBytes: 1 << 10,
+		RetryPolicy: func() retry.Policy { return retry.Policy{MinRetries: 1} },
+	})
+	executor.Execute(context.Background(), newCall("r1", true), new(fakeSink))
+	for deadline := time.Now().Add(10 * time.Second); !broker.hasReleasedAll() && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	if result := executor.Execute(context.Background(), newCall("r2", true), new(fakeSink)); result.Refusal != nil {
+		t.Errorf("the only retry was charged to a run that ended: %v", result.Refusal)
+	}
+}
+
+// A replacement for which there is no slot is not charged to the retry budget.
 func TestUnbegunReplacementIsNotCharged(t *testing.T) {
 	broker := &immediateBroker{fakeBroker: &fakeBroker{}}
 	backend := &fakeBackend{}
