peer: drop a message whose handler panics

A handler that panicked on a message of a peer ended the process, and every daemon that got the same message. The transport now drops the message, counts and logs it. Two handlers released their lock without defer; they don't now.

--- a/internal/adapters/peer/counters.go
+++ b/internal/adapters/peer/counters.go
@@ -45,6 +45,7 @@
 	connectionsRejected  tally.Counter
 	dialFailures         tally.Counter
 	unknownKinds         tally.Counter
+	handlerPanics        tally.Counter
 	certificatesRejected tally.Counter
 }
 
@@ -59,6 +60,7 @@
 		connectionsRejected:  scope.Counter("peer_connections_rejected"),
 		dialFailures:         scope.Counter("peer_dial_failures"),
 		unknownKinds:         scope.Counter("peer_unknown_kinds"),
+		handlerPanics:        scope.Counter("peer_handler_panics"),
 		certificatesRejected: scope.Counter("peer_certificates_rejected"),
 	}
 }
--- a/internal/adapters/peer/transport.go
+++ b/internal/adapters/peer/transport.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 
@@ -19,6 +21,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"hawthornstream/internal/adapters/logging"
 	"hawthornstream/internal/app/workpool"
 	"hawthornstream/internal/ports"
 )
@@ -58,6 +61,7 @@
 	handlers         map[ports.MessageKind]messageHandler
 	sessionCallbacks []func(ports.DaemonID, bool)
 	counters         *counters
+	logLimiter       *logging.Limiter
 	rpcServer        *drpcserver.Server
 
 	ctx        context.Context
@@ -94,6 +98,7 @@
 		codec:          codec,
 		handlers:       make(map[ports.MessageKind]messageHandler),
 		counters:       newCounters(options.Scope),
+		logLimiter:     logging.NewLimiter(options.Logger),
 		ctx:            ctx,
 		cancel:         cancel,
 		peers:          make(map[ports.DaemonID]ports.VM),
@@ -238,9 +243,26 @@
 	}
 	t.options.Pool.Submit(string(from), func() {
 		for _, message := range messages {
-			t.handlers[message.Kind()].handle(from, message)
+			t.handleMessage(from, message)
 		}
 	})
 }
 
+// handleMessage passes a message to its handler. A handler that panics loses the message, and
+// not the process: all daemons that get the same message would end at once.
+func (t *Transport) handleMessage(from ports.DaemonID, message ports.Message) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		t.counters.handlerPanics.Inc(1)
+		if t.logLimiter.Allow("peer-handler-panic", kindName(message.Kind())) {
+			t.options.Logger.Error().Str("event", "peer-handler-panic").Str("peer", string(from)).
+				Str("kind", kindName(message.Kind())).Str("cause", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).Msg("")
+		}
+	}()
+	t.handlers[message.Kind()].handle(from, message)
+}
+
 var _ drpc.Encoding = (*codec)(nil)
--- a/internal/app/cluster/manager.go
+++ b/internal/app/cluster/manager.go
@@ -120,11 +120,7 @@
 // updateTable runs one update of the table, publishes the changes and sends the
 // messages that the update returns.
 func (m *Manager) updateTable(update func(now time.Time) []membership.Envelope) {
-	m.mu.Lock()
-	envelopes := update(time.Now())
-	changed := m.publishView()
-	transitions := m.table.TakeTransitions()
-	m.mu.Unlock()
+	envelopes, transitions, changed := m.lockAndUpdate(update)
 	m.sendEnvelopes(envelopes)
 	m.reportTransitions(transitions)
 	if changed {
@@ -132,6 +128,17 @@
 	}
 }
 
+// lockAndUpdate is the part of updateTable that holds mu.
+func (m *Manager) lockAndUpdate(
+	update func(now time.Time) []membership.Envelope,
+) (envelopes []membership.Envelope, transitions []membership.Transition, changed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	envelopes = update(time.Now())
+	changed = m.publishView()
+	return envelopes, m.table.TakeTransitions(), changed
+}
+
 // publishView stores a new view if the set of daemons considered alive changed,
 // and reports whether it did. The caller holds mu.
 func (m *Manager) publishView() bool {
--- a/internal/app/dispatch/origins.go
+++ b/internal/app/dispatch/origins.go
@@ -155,9 +155,7 @@
 }
 
 func (o *originExchange) handleQuery(now time.Time, from ports.DaemonID, query *ports.StreamOriginQuery) {
-	o.mu.Lock()
-	origin, known := o.table.LookUp(now, streamorigin.AttemptKey(query.Attempt))
-	o.mu.Unlock()
+	origin, known := o.lookUpOwn(now, streamorigin.AttemptKey(query.Attempt))
 	answer := &ports.StreamOriginAnswer{Attempt: query.Attempt}
 	if known {
 		answer.Service, answer.SoftwareVersion = origin.Service, origin.SoftwareVersion
@@ -165,6 +163,13 @@
 	o.transport.Send(from, answer)
 }
 
+// lookUpOwn returns what this daemon's own table holds of an attempt.
+func (o *originExchange) lookUpOwn(now time.Time, key streamorigin.AttemptKey) (streamorigin.Origin, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.LookUp(now, key)
+}
+
 func (o *originExchange) handleAnswer(answer *ports.StreamOriginAnswer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
