execution: contain panics of runs

A panic in a run of a plain service on the own interface ended the process, since the run has a goroutine of its own; elsewhere the run's slot was never released. A run that panics now ends as internal, with an unknown run state, is counted and logged, and releases its slot; a silent run beside it goes on.

TestPanicOfRunIsContained failed before ('panic: fault', process ended).

--- a/internal/adapters/servicehttp/backend.go
+++ b/internal/adapters/servicehttp/backend.go
@@ -48,14 +48,24 @@
 	ctx context.Context, call *ports.Call, server ports.VM, sink ports.AnswerSink, reportCost func(ports.Cost),
 ) ports.RunResult {
 	sentAt := time.Now()
-	results := make(chan ports.RunResult, 1)
-	go func() { results <- b.runExchange(ctx, call, server, sink, sentAt) }()
+	results, panics := make(chan ports.RunResult, 1), make(chan any, 1)
+	go func() {
+		defer func() {
+			if cause := recover(); cause != nil {
+				panics <- cause
+			}
+		}()
+		results <- b.runExchange(ctx, call, server, sink, sentAt)
+	}()
 	ticker := time.NewTicker(costReportInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
 			reportCost(costSince(sentAt))
+		case cause := <-panics:
+			// The caller of Run recovers panics; on the other goroutine nobody would.
+			panic(cause)
 		case result := <-results:
 			if result.End != outcome.NotRun {
 				result.Report.Cost = costSince(sentAt)
--- a/internal/app/execution/reporter.go
+++ b/internal/app/execution/reporter.go
@@ -1,6 +1,8 @@
 package execution
 
 import (
+	"fmt"
+	"runtime/debug"
 	"time"
 
 	"github.com/phuslu/log"
@@ -22,6 +24,7 @@
 	eventKept    = "silent-run-kept"
 	eventReplace = "silent-run-replacement"
 	eventEnded   = "call-ended"
+	eventPanic   = "run-panicked"
 )
 
 // callReporter logs and measures the progress and the end of calls. The number of log
@@ -36,6 +39,7 @@
 	answersCut        *metrics.CounterVec
 	silentTriesKept   *metrics.CounterVec
 	replacements      *metrics.CounterVec
+	panics            *metrics.CounterVec
 	queueTimes        *metrics.DurationHistogramVec
 	firstByteTimes    *metrics.DurationHistogramVec
 	longestPauses     *metrics.DurationHistogramVec
@@ -52,6 +56,7 @@
 		retriesOverBudget: metrics.NewCounterVec(scope, "retries_over_budget", "reason", "service"),
 		silentTriesKept:   metrics.NewCounterVec(scope, "silent_runs_kept", "cause", "service"),
 		replacements:      metrics.NewCounterVec(scope, "silent_run_replacements", "end", "service"),
+		panics:            metrics.NewCounterVec(scope, "run_panics", "service"),
 		answersCut:        metrics.NewCounterVec(scope, "answers_cut", "reason", "service"),
 		queueTimes:        metrics.NewDurationHistogramVec(scope, "queue_seconds", "service"),
 		firstByteTimes:    metrics.NewDurationHistogramVec(scope, "first_byte_seconds", "service"),
@@ -98,6 +103,16 @@
 		Str("detail", result.Detail).Msg("")
 }
 
+// runPanicked reports that a fault of the program ended a run.
+func (r *callReporter) runPanicked(call *ports.Call, server ports.VM, cause any) {
+	r.panics.Inc(string(call.Service))
+	if !r.limiter.Allow(eventPanic, string(call.Service)) {
+		return
+	}
+	r.log.Error().Str("event", eventPanic).Str("request", string(call.ID)).Str("server", string(server.Name)).
+		Str("service", string(call.Service)).Str("cause", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).Msg("")
+}
+
 // callRetried reports that a call is retried after wait.
 func (r *callReporter) callRetried(call *ports.Call, last ports.RunResult, wait time.Duration) {
 	r.retries.Inc(string(last.Reason), string(call.Service))
--- a/internal/app/execution/try.go
+++ b/internal/app/execution/try.go
@@ -47,7 +47,7 @@
 // run runs the call on the server and returns the result.
 func (t *try) run() ports.RunResult {
 	r := t.loop
-	result := r.backend.Run(t.ctx, t.call, t.slot.Server(), &trySink{try: t}, t.slot.Progress)
+	result := t.runBackend()
 	t.cancel(nil)
 	result = r.settle(t, result)
 	result.Report.Reason = result.Reason
@@ -58,6 +58,21 @@
 	return result
 }
 
+// runBackend runs the call on the server. A panic ends the run as failed, so that its slot
+// is released; replacements run on goroutines that nothing else would recover.
+func (t *try) runBackend() (result ports.RunResult) {
+	r := t.loop
+	defer func() {
+		if cause := recover(); cause != nil {
+			r.executor.reporter.runPanicked(t.call, t.slot.Server(), cause)
+			result = ports.RunResult{
+				End: outcome.Unknown, Reason: outcome.ReasonInternal, Detail: "a fault of the daemon ended the run",
+			}
+		}
+	}()
+	return r.backend.Run(t.ctx, t.call, t.slot.Server(), &trySink{try: t}, t.slot.Progress)
+}
+
 // settle returns the result of a run, which is that of a silent connection if another try
 // has taken its place.
 func (r *retryLoop) settle(t *try, result ports.RunResult) ports.RunResult {
--- a/internal/app/execution/try_test.go
+++ b/internal/app/execution/try_test.go
@@ -264,3 +264,22 @@
 		t.Errorf("the only retry was charged without a slot: %v", result.Refusal)
 	}
 }
+
+// A fault of the program in one run must not end the process, lose the run's slot, or tell
+// the caller that nothing ran. Beside a silent run, it leaves that run where it is.
+func TestPanicOfRunIsContained(t *testing.T) {
+	panics := func(context.Context, *ports.Call, ports.AnswerSink) ports.RunResult { panic("fault") }
+	result, _, _ := executeScripts(t, true, 1, panics)
+	if result.Refusal == nil || result.Refusal.Reason != outcome.ReasonInternal || result.End != outcome.Unknown {
+		t.Errorf("ended with %+v", result)
+	}
+	goesOn := make(chan struct{})
+	result, answer, _ := executeScripts(t, true, 1, silentUntil(goesOn),
+		func(context.Context, *ports.Call, ports.AnswerSink) ports.RunResult {
+			close(goesOn)
+			panic("fault")
+		})
+	if result.Refusal != nil || answer != "first" {
+		t.Errorf("got %+v, answer %q", result, answer)
+	}
+}
