--- a/internal/adapters/backendhttp/client.go
+++ b/internal/adapters/backendhttp/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -49,6 +50,8 @@
 	opened, closedCounter *metrics.CounterVec
 	// invalidRetryAfter counts the answers with an invalid Retry-After by problem.
 	invalidRetryAfter *metrics.CounterVec
+	// loadRequests numbers the requests for load reports.
+	loadRequests atomic.Uint64
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the oldest first.
@@ -150,9 +153,9 @@
 	c.closeConns(unusable, closeReasonIdleEnded)
 }
 
-// dropIdle closes the idle connections to an address after another one has gone
+// DropIdle closes the idle connections to an address after another one has gone
 // silent: what lies between may have lost track of them all.
-func (c *Client) dropIdle(address string) {
+func (c *Client) DropIdle(address string) {
 	c.mu.Lock()
 	conns := c.idle[address]
 	delete(c.idle, address)
