Late daemons hand new connections over to peers with time to spare

Cause: the balancer selects a daemon by a hash of the caller, so that all callers of one workspace reach a few daemons.

Change: daemons of one failure domain tell each other the processor time that they have to spare with their load reports (new key 14). New settings listen.handover and limits.processors; without the first nothing changes.

--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -1,7 +1,9 @@
 package callerhttp
 
 import (
+	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/phuslu/log"
@@ -72,11 +74,7 @@
 func (s *Server) newHandler(parse Parser) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		in := &IncomingRequest{ID: s.dialect.AssignRequestID(w, r)}
-		if s.stopAnnounced.Load() || s.connections.shouldCloseAfterAnswer() {
-			w.Header().Set("Connection", "close")
-		} else {
-			w.Header().Set("Keep-Alive", s.keepAliveHeader)
-		}
+		s.setConnectionHeader(w.Header(), r)
 		call, refusal := s.admit(w, r, in, parse)
 		if refusal != nil {
 			s.writeRefusal(w, in, refusal)
@@ -86,6 +84,28 @@
 	})
 }
 
+// setConnectionHeader tells the caller whether and how long its connection stays open.
+func (s *Server) setConnectionHeader(header http.Header, r *http.Request) {
+	takenOver, shouldClose := isTakenOver(r.Context())
+	shouldClose = shouldClose || s.stopAnnounced.Load() || s.connections.shouldCloseAfterAnswer()
+	if !takenOver && !shouldClose {
+		shouldClose = s.handover != nil && s.handover.table.shouldRelease()
+	}
+	switch {
+	case shouldClose:
+		header.Set("Connection", "close")
+	case takenOver:
+		header.Set("Keep-Alive", keepAliveValue(takenOverIdleTimeout))
+	default:
+		header.Set("Keep-Alive", s.keepAliveHeader)
+	}
+}
+
+// keepAliveValue returns the value of the Keep-Alive header field for an idle timeout.
+func keepAliveValue(idleTimeout time.Duration) string {
+	return fmt.Sprintf("timeout=%d", int(idleTimeout.Seconds()))
+}
+
 // admit makes every check that needs no backend server and creates the call.
 func (s *Server) admit(
 	w http.ResponseWriter,
--- /dev/null
+++ b/internal/adapters/callerhttp/handover.go
@@ -0,0 +1,385 @@
+package callerhttp
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+
+	"hawthornstream/internal/adapters/logging"
+	"hawthornstream/internal/adapters/metrics"
+	"hawthornstream/internal/adapters/tlsfiles"
+	"hawthornstream/internal/core/fieldcheck"
+	"hawthornstream/internal/core/overload"
+	"hawthornstream/internal/settings"
+)
+
+const (
+	// handoverDialTimeout bounds the connection to a peer, and handoverAcceptTimeout
+	// the wait for its word that it takes the connection over. Both daemons are in the
+	// same failure domain.
+	handoverDialTimeout   = 400 * time.Millisecond
+	handoverAcceptTimeout = 400 * time.Millisecond
+	// maxHandoverTries is the number of peers that are asked for one connection.
+	maxHandoverTries = 2
+	// maxHandoversInProgress is the number of connections for which peers are being
+	// asked at once. With more, this daemon has no time left to hand over.
+	maxHandoversInProgress = 64
+	// handoverAccepted is the byte by which a daemon confirms that it takes a
+	// connection over. Nothing else is added to what caller and daemon send.
+	handoverAccepted = 0x01
+	// connectionsPerRelay is what a relay counts for in the limit of connections: two
+	// file descriptors, and two goroutines with a buffer each.
+	connectionsPerRelay = 2
+	// takenOverIdleTimeout is how long a connection that was taken over stays open
+	// without a request, and takenOverLifetime the age from which it is closed after its
+	// next answer, so that the daemon that relays it soon gets rid of it, at the latest
+	// within its own announcement of a stop.
+	takenOverIdleTimeout = time.Second
+	takenOverLifetime    = 1500 * time.Millisecond
+)
+
+// Outcomes of handing a connection over, as counted.
+const (
+	handoverOutcomeAccepted    = "accepted"
+	handoverOutcomeRefused     = "refused"
+	handoverOutcomeUnreachable = "unreachable"
+	handoverOutcomeNoPeer      = "no-peer"
+	handoverOutcomeBusy        = "too-many-at-once"
+)
+
+// takenOverKey is the key, in a connection's context, of the time at which the
+// connection was taken over from another daemon.
+type takenOverKey struct{}
+
+// handover hands new connections over to other daemons and takes connections over from
+// them.
+type handover struct {
+	server  *Server
+	address string
+	table   *HandoverTable
+	// listener accepts the connections that other daemons hand over.
+	listener   *takeOverListener
+	httpServer *http.Server
+	// returned accepts the connections that no peer took over.
+	returned   *returnedListener
+	relays     sync.WaitGroup
+	openRelays atomic.Int64
+	// inProgress is the number of connections for which peers are being asked.
+	inProgress atomic.Int64
+	relayGauge tally.Gauge
+	partGauge  tally.Gauge
+	useGauge   tally.Gauge
+	// wasBusy is used by observeLoad only.
+	wasBusy    bool
+	outcomes   *metrics.CounterVec
+	refused    *metrics.CounterVec
+	takenOver  tally.Counter
+	logLimiter *logging.Limiter
+	logger     *log.Logger
+}
+
+// newHandover returns the hand-over of a server, or nil if the settings or the platform
+// have none.
+func newHandover(s *settings.Settings, server *Server, table *HandoverTable, scope tally.Scope) *handover {
+	if s.Listen.Handover == "" || table == nil {
+		return nil
+	}
+	h := &handover{
+		server: server, address: s.Listen.Handover, table: table,
+		relayGauge: scope.Gauge("relays"),
+		partGauge:  scope.Gauge("handed_over_part"),
+		useGauge:   scope.Gauge("processor_use"),
+		outcomes:   metrics.NewCounterVec(scope, "connections_handed_over", "outcome"),
+		refused:    metrics.NewCounterVec(scope, "take_overs_refused", "reason"),
+		takenOver:  scope.Counter("connections_taken_over"),
+		logLimiter: server.logLimiter, logger: server.logger,
+	}
+	h.httpServer = server.newHTTPServer(takenOverIdleTimeout, func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(server.connections.connContext(ctx, conn), takenOverKey{}, time.Now())
+	})
+	return h
+}
+
+// run starts to accept connections from other daemons. It fails if no address of the
+// settings is free, or with *tlsfiles.KeyPairError.
+func (h *handover) run(other settings.Listen, keyPair *settings.KeyPair, serve func(*http.Server, net.Listener)) error {
+	inner, err := listenInRange(h.address, other)
+	if err != nil {
+		return err
+	}
+	h.listener = &takeOverListener{Listener: inner, handover: h}
+	h.returned = newReturnedListener(inner.Addr())
+	listener, err := tlsfiles.WrapListener(h.listener, keyPair, h.logger)
+	if err != nil {
+		return err
+	}
+	returned, err := tlsfiles.WrapListener(h.returned, keyPair, h.logger)
+	if err != nil {
+		return err
+	}
+	go serve(h.httpServer, listener)
+	go serve(h.server.httpServer, returned)
+	h.table.start(inner.Addr().String())
+	return nil
+}
+
+// listenInRange listens on the first free address of a range that is not another one of
+// the daemon's own.
+func listenInRange(addresses string, other settings.Listen) (net.Listener, error) {
+	first, last, ok := fieldcheck.ParseAddrPorts(addresses)
+	if !ok {
+		return nil, eris.Errorf("%q is no address with a range of ports", addresses)
+	}
+	config := net.ListenConfig{KeepAlive: -1}
+	var lastErr error
+	for port := int(first.Port()); port <= int(last); port++ {
+		address := net.JoinHostPort(first.Addr().String(), strconv.Itoa(port))
+		if address == other.Peers || address == other.Operators || address == other.Callers || address == other.Readiness {
+			continue
+		}
+		listener, err := config.Listen(context.Background(), "tcp", address)
+		if err == nil {
+			return listener, nil
+		}
+		lastErr = err
+	}
+	return nil, eris.Wrapf(lastErr, "listen for connections of other daemons on %s", addresses)
+}
+
+// handOver takes a new connection that is to be handed over, and reports false if it is
+// to be served here. Nothing has been read from the connection.
+func (h *handover) handOver(conn net.Conn) bool {
+	caller, ok := conn.(*net.TCPConn)
+	if !ok || !h.table.shouldHandOver(h.server.shedder) {
+		return false
+	}
+	if h.inProgress.Load() >= maxHandoversInProgress {
+		h.outcomes.Inc(handoverOutcomeBusy)
+		return false
+	}
+	peer, found := h.table.choose()
+	if !found {
+		h.outcomes.Inc(handoverOutcomeNoPeer)
+		return false
+	}
+	h.countRelay(1)
+	h.relays.Go(func() {
+		defer h.countRelay(-1)
+		h.relay(caller, peer)
+	})
+	return true
+}
+
+func (h *handover) countRelay(delta int64) {
+	h.relayGauge.Update(float64(h.openRelays.Add(delta)))
+	h.server.connections.add(connectionsPerRelay * delta)
+}
+
+// relay asks peers to take the connection over, relays it, and returns it to this
+// daemon's server if none does.
+func (h *handover) relay(caller *net.TCPConn, peer handoverPeer) {
+	conn := h.findPeer(peer)
+	switch {
+	case conn == nil:
+		h.returned.deliver(caller)
+	case hungUp(caller):
+		closeWithReset(conn)
+		closeWithReset(caller)
+	default:
+		relay := relay{caller: caller, peer: conn, gather: h.shouldGather}
+		relay.run()
+	}
+}
+
+// findPeer returns a connection to a peer that takes the caller's over, or nil. It asks
+// the given peer first.
+func (h *handover) findPeer(peer handoverPeer) *net.TCPConn {
+	h.inProgress.Add(1)
+	defer h.inProgress.Add(-1)
+	for try := 1; ; try++ {
+		conn, outcome := dialPeer(peer.address)
+		h.outcomes.Inc(outcome)
+		h.logHandedOver(peer, outcome)
+		if conn != nil {
+			return conn
+		}
+		h.table.withdraw(peer)
+		var found bool
+		if peer, found = h.table.choose(); !found || try == maxHandoverTries {
+			return nil
+		}
+	}
+}
+
+func (h *handover) logHandedOver(peer handoverPeer, outcome string) {
+	if h.logLimiter.Allow("connection-handed-over", outcome) {
+		h.logger.Info().Str("event", "connection-handed-over").Str("outcome", outcome).Str("peer", string(peer.daemon)).
+			Float64("part", h.table.fraction()).Int64("open", h.openRelays.Load()).Msg("")
+	}
+}
+
+// observeLoad records a measurement of this daemon's load.
+func (h *handover) observeLoad(now time.Time, use float64, lag time.Duration) {
+	fraction := h.table.observe(now, overload.Load{Use: use, Lag: lag})
+	h.partGauge.Update(fraction)
+	h.useGauge.Update(use)
+	if isBusy := fraction > 0; isBusy != h.wasBusy {
+		h.wasBusy = isBusy
+		event := "handover-ended"
+		if isBusy {
+			event = "handover-began"
+		}
+		if h.logLimiter.Allow(event, "") {
+			h.logger.Info().Str("event", event).Float64("use", use).Dur("late", lag).Msg("")
+		}
+	}
+}
+
+// shouldGather reports whether relays should save work by passing bytes on together.
+func (h *handover) shouldGather() bool {
+	return h.table.fraction() > 0
+}
+
+// dialPeer connects to a peer and waits until it takes the connection over.
+func dialPeer(address string) (conn *net.TCPConn, outcome string) {
+	dialer := net.Dialer{Timeout: handoverDialTimeout, KeepAlive: -1}
+	dialed, err := dialer.Dial("tcp", address)
+	if errors.Is(err, syscall.ECONNRESET) {
+		// The peer closed the connection before the dial returned.
+		return nil, handoverOutcomeRefused
+	}
+	if err != nil {
+		return nil, handoverOutcomeUnreachable
+	}
+	conn = dialed.(*net.TCPConn)
+	var answer [1]byte
+	if err := conn.SetReadDeadline(time.Now().Add(handoverAcceptTimeout)); err == nil {
+		_, err = conn.Read(answer[:])
+		if err == nil && answer[0] == handoverAccepted && conn.SetReadDeadline(time.Time{}) == nil {
+			return conn, handoverOutcomeAccepted
+		}
+	}
+	closeWithReset(conn)
+	return nil, handoverOutcomeRefused
+}
+
+// stop ends the hand-over: it waits until the calls that were taken over and the relays
+// have ended, or the context is done. It then closes their connections and returns an
+// error.
+func (h *handover) stop(ctx context.Context) error {
+	err := h.httpServer.Shutdown(ctx)
+	done := make(chan struct{})
+	go func() {
+		h.relays.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		err = ctx.Err()
+		h.logger.Error().Str("event", "relays-cut").Int64("open", h.openRelays.Load()).Msg("")
+	}
+	if err != nil {
+		_ = h.httpServer.Close()
+	}
+	return err
+}
+
+// takeOverListener accepts the connections that other daemons hand over. It confirms
+// each one, or closes it unread.
+type takeOverListener struct {
+	net.Listener
+	handover *handover
+}
+
+// Accept implements net.Listener.
+func (l *takeOverListener) Accept() (net.Conn, error) {
+	h := l.handover
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		reason := l.refusalReason(conn)
+		if reason == "" {
+			if _, err := conn.Write([]byte{handoverAccepted}); err == nil {
+				h.takenOver.Inc(1)
+				h.server.enableKeepAlive(conn)
+				return conn, nil
+			}
+			reason = closeReasonCallerGone
+		}
+		h.refused.Inc(reason)
+		if h.logLimiter.Allow("take-over-refused", reason) {
+			h.logger.Info().Str("event", "take-over-refused").Str("reason", reason).Msg("")
+		}
+		closeWithReset(conn)
+	}
+}
+
+// refusalReason returns why a connection is not taken over, or "".
+func (l *takeOverListener) refusalReason(conn net.Conn) string {
+	server := l.handover.server
+	if server.stopAnnounced.Load() {
+		return closeReasonStopping
+	}
+	return server.closeReason(conn)
+}
+
+// isTakenOver reports whether the request came over a connection that another daemon
+// handed over, and whether that is to be closed after the answer.
+func isTakenOver(ctx context.Context) (takenOver, shouldClose bool) {
+	at, takenOver := ctx.Value(takenOverKey{}).(time.Time)
+	return takenOver, takenOver && time.Since(at) >= takenOverLifetime
+}
+
+// returnedListener passes connections that no peer took over to this daemon's server.
+type returnedListener struct {
+	address net.Addr
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func newReturnedListener(address net.Addr) *returnedListener {
+	return &returnedListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// deliver passes a connection to the server. After Close it closes the connection, from
+// which nothing has been read.
+func (l *returnedListener) deliver(conn net.Conn) {
+	select {
+	case l.conns <- conn:
+	case <-l.closed:
+		closeWithReset(conn)
+	}
+}
+
+// Accept implements net.Listener.
+func (l *returnedListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *returnedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *returnedListener) Addr() net.Addr { return l.address }
--- a/internal/adapters/callerhttp/keepalive_test.go
+++ b/internal/adapters/callerhttp/keepalive_test.go
@@ -30,7 +30,7 @@
 	}
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	server := New(&settings.Settings{Limits: limits}, fixedConfiguration{revision: revision}, executorFunc(echoPath),
-		DefaultDialect(), tally.NoopScope, logger)
+		DefaultDialect(), nil, tally.NoopScope, logger)
 	listener := httptest.NewUnstartedServer(nil)
 	listener.Config = server.httpServer
 	listener.Start()
--- a/internal/adapters/callerhttp/listener.go
+++ b/internal/adapters/callerhttp/listener.go
@@ -30,6 +30,7 @@
 	closeReasonCallerGone      = "caller-gone"
 	closeReasonConnectionLimit = "connection-limit"
 	closeReasonOverload        = "overload"
+	closeReasonStopping        = "stopping"
 )
 
 // sheddingListener is a listener that closes new connections whose requests would
@@ -37,18 +38,14 @@
 // ran, and retries through the load balancer.
 type sheddingListener struct {
 	net.Listener
-	connections  *connectionLimiter
-	shedder      *loadShedder
+	server       *Server
 	closedUnread *metrics.CounterVec
-	logLimiter   *logging.Limiter
-	logger       *log.Logger
 }
 
 func newSheddingListener(inner net.Listener, s *Server, scope tally.Scope) *sheddingListener {
 	return &sheddingListener{
-		Listener: inner, connections: s.connections, shedder: s.shedder,
+		Listener: inner, server: s,
 		closedUnread: metrics.NewCounterVec(scope, "connections_closed_unread", "reason"),
-		logLimiter:   s.logLimiter, logger: s.logger,
 	}
 }
 
@@ -59,30 +56,44 @@
 		if err != nil {
 			return nil, err
 		}
-		reason := l.closeReason(conn)
+		reason := l.server.unservedReason(conn)
+		if reason == "" && l.server.handover != nil && l.server.handover.handOver(conn) {
+			continue
+		}
+		if reason == "" && l.server.shedder.shouldCloseUnread() {
+			reason = closeReasonOverload
+		}
 		if reason == "" {
-			l.enableKeepAlive(conn)
+			l.server.enableKeepAlive(conn)
 			return conn, nil
 		}
 		l.closedUnread.Inc(reason)
-		if l.logLimiter.Allow("connection-closed-unread", reason) {
-			l.logger.Info().Str("event", "connection-closed-unread").Str("reason", reason).
-				Float64("turnedAway", l.shedder.shedFraction()).Int64("open", l.connections.open.Load()).Msg("")
+		if l.server.logLimiter.Allow("connection-closed-unread", reason) {
+			l.server.logger.Info().Str("event", "connection-closed-unread").Str("reason", reason).
+				Float64("turnedAway", l.server.shedder.shedFraction()).Int64("open", l.server.connections.open.Load()).Msg("")
 		}
 		closeWithReset(conn)
 	}
 }
 
-// closeReason returns why a new connection is to be closed, or "" to serve it. A
-// caller that waited for its connection longer than its maximum wait has already
-// hung up.
-func (l *sheddingListener) closeReason(conn net.Conn) string {
+// unservedReason returns why no daemon should serve a new connection, or "". A caller
+// that waited for its connection longer than its maximum wait has already hung up.
+func (s *Server) unservedReason(conn net.Conn) string {
 	switch {
 	case hungUp(conn):
 		return closeReasonCallerGone
-	case float64(l.connections.open.Load()) >= (1+overLimitFraction)*float64(l.connections.limit):
+	case float64(s.connections.open.Load()) >= (1+overLimitFraction)*float64(s.connections.limit):
 		return closeReasonConnectionLimit
-	case l.shedder.shedFraction() >= closeUnreadThreshold && l.shedder.shouldShed():
+	}
+	return ""
+}
+
+// closeReason returns why a connection is to be closed unread, or "" to serve it here.
+func (s *Server) closeReason(conn net.Conn) string {
+	if reason := s.unservedReason(conn); reason != "" {
+		return reason
+	}
+	if s.shedder.shouldCloseUnread() {
 		return closeReasonOverload
 	}
 	return ""
@@ -90,14 +101,14 @@
 
 // enableKeepAlive lets the kernel detect callers that disappeared without closing
 // their connection.
-func (l *sheddingListener) enableKeepAlive(conn net.Conn) {
+func (s *Server) enableKeepAlive(conn net.Conn) {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return
 	}
 	config := net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod}
 	if err := tcp.SetKeepAliveConfig(config); err != nil {
-		l.logger.Debug().Str("event", "keep-alive-failed").Err(err).Msg("")
+		s.logger.Debug().Str("event", "keep-alive-failed").Err(err).Msg("")
 	}
 }
 
--- a/internal/adapters/callerhttp/loadshedder.go
+++ b/internal/adapters/callerhttp/loadshedder.go
@@ -35,7 +35,9 @@
 	// connections to other daemons.
 	outOfRotation atomic.Bool
 	// allowedLag is how late a call may be because it waits for the processor.
-	allowedLag                  time.Duration
+	allowedLag time.Duration
+	// observeLoad gets each measurement. It may be nil.
+	observeLoad                 func(now time.Time, use float64, lag time.Duration)
 	logger                      *log.Logger
 	lagGauge, shedFractionGauge tally.Gauge
 }
@@ -55,7 +57,7 @@
 	shedder := overload.NewShedder(s.allowedLag)
 	ticker := time.NewTicker(overload.MeasurementPeriod)
 	defer ticker.Stop()
-	previous := time.Now()
+	previous, previousUse := time.Now(), processorTime()
 	scheduling := newSchedulingLatency()
 	for {
 		select {
@@ -69,6 +71,11 @@
 			s.lagGauge.Update(lag.Seconds())
 			s.shedFractionGauge.Update(shedder.ShedFraction())
 			s.shedFractionBits.Store(math.Float64bits(shedder.ShedFraction()))
+			if s.observeLoad != nil {
+				use := processorTime()
+				s.observeLoad(now, float64(use-previousUse)/float64(max(now.Sub(previous), 1)), lag)
+				previousUse = use
+			}
 			previous = now
 		}
 	}
@@ -98,6 +105,11 @@
 	return shedFraction > 0 && rand.Float64() < shedFraction
 }
 
+// shouldCloseUnread decides for one new connection at random whether to close it unread.
+func (s *loadShedder) shouldCloseUnread() bool {
+	return s.shedFraction() >= closeUnreadThreshold && s.shouldShed()
+}
+
 // demandWeight returns the number of requests that arrived for each one that is
 // admitted now.
 func (s *loadShedder) demandWeight() float64 {
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	stdlog "log"
 	"net"
 	"net/http"
@@ -68,14 +67,19 @@
 	refusingCalls   atomic.Bool
 	stopOnce        sync.Once
 	httpServer      *http.Server
+	listen          settings.Listen
+	// handover is nil if no connections are handed over.
+	handover *handover
 }
 
-// New returns a server that does not listen yet.
+// New returns a server that does not listen yet. Without a table it hands no connections
+// over.
 func New(
 	s *settings.Settings,
 	configuration ports.ConfigurationSource,
 	executor ports.Executor,
 	dialect Dialect,
+	table *HandoverTable,
 	scope tally.Scope,
 	logger *log.Logger,
 ) *Server {
@@ -94,20 +98,33 @@
 		openCalls:       newOpenCalls(),
 		shedder:         newLoadShedder(s.Limits.MaxProcessorWait.Value(), scope, logger),
 		connections:     newConnectionLimiter(maxConnections(s.Limits), scope.Gauge("connections")),
-		keepAliveHeader: fmt.Sprintf("timeout=%d", int(s.Limits.IdleTimeout.Value().Seconds())),
+		keepAliveHeader: keepAliveValue(s.Limits.IdleTimeout.Value()),
+		listen:          s.Listen,
 	}
-	server.httpServer = &http.Server{
-		Handler:           dialect.Handler(server.newHandler),
-		MaxHeaderBytes:    int(s.Limits.MaxHeaderSize.Bytes()) + headerSlackBytes,
-		ReadHeaderTimeout: s.Limits.ReceiveTimeout.Value(),
-		IdleTimeout:       s.Limits.IdleTimeout.Value() + idleGrace,
-		ConnContext:       server.connections.connContext,
-		ConnState:         server.connections.connState,
-		ErrorLog:          stdlog.New(&httpErrorLog{logLimiter: server.logLimiter, logger: logger}, "", 0),
+	server.httpServer = server.newHTTPServer(s.Limits.IdleTimeout.Value(), server.connections.connContext)
+	if server.handover = newHandover(s, server, table, scope); server.handover != nil {
+		server.shedder.observeLoad = server.handover.observeLoad
 	}
 	return server
 }
 
+// newHTTPServer returns an HTTP server that serves callers and keeps idle connections
+// open for the given time.
+func (s *Server) newHTTPServer(
+	idleTimeout time.Duration,
+	connContext func(context.Context, net.Conn) context.Context,
+) *http.Server {
+	return &http.Server{
+		Handler:           s.dialect.Handler(s.newHandler),
+		MaxHeaderBytes:    int(s.limits.MaxHeaderSize.Bytes()) + headerSlackBytes,
+		ReadHeaderTimeout: s.limits.ReceiveTimeout.Value(),
+		IdleTimeout:       idleTimeout + idleGrace,
+		ConnContext:       connContext,
+		ConnState:         s.connections.connState,
+		ErrorLog:          stdlog.New(&httpErrorLog{logLimiter: s.logLimiter, logger: s.logger}, "", 0),
+	}
+}
+
 // maxConnections returns the maximum number of callers' connections that the
 // process's limits allow.
 func maxConnections(limits settings.Limits) int {
@@ -134,20 +151,31 @@
 	if err != nil {
 		return err
 	}
-	go s.shedder.run()
-	go func() {
-		if err := s.httpServer.Serve(listener); !eris.Is(err, http.ErrServerClosed) {
-			s.logger.Error().Str("event", "callers-serve-failed").Err(err).Msg("")
+	if s.handover != nil {
+		if err := s.handover.run(s.listen, s.keyPair, s.serve); err != nil {
+			return err
 		}
-	}()
+	}
+	go s.shedder.run()
+	go s.serve(s.httpServer, listener)
 	return nil
 }
 
+// serve serves the connections of a listener until the server is stopped.
+func (s *Server) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !eris.Is(err, http.ErrServerClosed) {
+		s.logger.Error().Str("event", "callers-serve-failed").Err(err).Msg("")
+	}
+}
+
 // AnnounceStop announces a stop: each further answer asks its caller to close the
 // connection. Idle connections stay open until Stop, since a caller may be sending
 // on one.
 func (s *Server) AnnounceStop() {
 	s.stopAnnounced.Store(true)
+	if s.handover != nil {
+		s.handover.table.announceStop()
+	}
 }
 
 // RefuseCalls makes the server refuse each further call with a time to retry after.
@@ -188,6 +216,11 @@
 	s.refusingCalls.Store(true)
 	defer s.stopOnce.Do(func() { close(s.shedder.stop) })
 	err := s.httpServer.Shutdown(ctx)
+	if s.handover != nil {
+		if stopErr := s.handover.stop(ctx); err == nil {
+			err = stopErr
+		}
+	}
 	if err == nil {
 		return nil
 	}
--- a/internal/adapters/callerhttp/server_test.go
+++ b/internal/adapters/callerhttp/server_test.go
@@ -85,7 +85,7 @@
 		t.Fatal(err)
 	}
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	server := New(s, fixedConfiguration{revision: revision}, executor, DefaultDialect(), scope, logger)
+	server := New(s, fixedConfiguration{revision: revision}, executor, DefaultDialect(), nil, scope, logger)
 	listener := httptest.NewUnstartedServer(nil)
 	listener.Config = server.httpServer
 	listener.Start()
--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -85,7 +85,7 @@
 // settings select.
 func interfaceModules(s *settings.Settings) fx.Option {
 	if s.Platform.Interface == settings.InterfaceObjects {
-		return fx.Options(platform.Module, liveconfig.ReadOnlyModule, dispatch.Module)
+		return fx.Options(platform.Module, liveconfig.ReadOnlyModule, dispatch.Module, handoverModule)
 	}
 	return fx.Options(
 		objectapi.Module,
@@ -93,10 +93,17 @@
 		liveconfig.Module,
 		sharing.Module,
 		execution.BackendsModule,
-		fx.Provide(callerhttp.DefaultDialect),
+		fx.Provide(callerhttp.DefaultDialect, func() *callerhttp.HandoverTable { return nil }),
 	)
 }
 
+// handoverModule lets the daemons of a failure domain serve connections for each other.
+// Their offers travel with the load reports.
+var handoverModule = fx.Provide(
+	callerhttp.NewHandoverTable,
+	func(t *callerhttp.HandoverTable) ports.HandoverOffers { return t },
+)
+
 // Run starts the daemon and serves until a signal or a planned stop, then drains
 // the calls in progress. A second signal ends the drain at once. Run fails when
 // the start or the stop fails, or when calls were cut off.
--- a/internal/app/dispatch/exchange.go
+++ b/internal/app/dispatch/exchange.go
@@ -56,6 +56,9 @@
 		m.notices.QueueLimits(now)
 	}
 	message := m.newLoadMessage(now, digest)
+	if m.handover != nil {
+		message.Handover = m.handover.OwnOffer()
+	}
 	var aggregate *ports.LoadMessage
 	if topology.IsAggregator &&
 		now.Sub(m.exchange.aggregateSentAt) >= aggregatePeriod+time.Duration(len(daemons))*aggregatePeriodPerDaemon {
@@ -193,6 +196,9 @@
 func (m *Manager) handleLoadMessage(from ports.DaemonID, message *ports.LoadMessage) {
 	m.pullNewerList(from, message.ServerListDigest())
 	m.relayAggregate(message)
+	if m.handover != nil && message.Domain == "" {
+		m.handover.SetPeerOffer(from, message.Handover)
+	}
 	now := time.Now()
 	source := core.Source{Daemon: from}
 	if message.Domain != "" {
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -50,6 +50,8 @@
 	Configuration ports.ConfigurationSource
 	// List may be missing: each daemon then reads the server list itself.
 	List ports.ServerListFeed `optional:"true"`
+	// Handover may be missing: no connections are handed over then.
+	Handover ports.HandoverOffers `optional:"true"`
 }
 
 // Manager implements ports.SlotBroker and ports.ServerNotices. It is safe for concurrent use.
@@ -67,6 +69,7 @@
 	directory             ports.Directory
 	transport             ports.PeerTransport
 	configuration         ports.ConfigurationSource
+	handover              ports.HandoverOffers
 	lists                 *listExchange
 	origins               *originExchange
 	changeSignal          chan struct{}
@@ -114,6 +117,7 @@
 		directory:             p.Directory,
 		transport:             p.Transport,
 		configuration:         p.Configuration,
+		handover:              p.Handover,
 		lists:                 newListExchange(p.List),
 		origins:               newOriginExchange(p.Directory, p.Transport),
 		changeSignal:          make(chan struct{}, 1),
--- a/internal/core/fieldcheck/validate.go
+++ b/internal/core/fieldcheck/validate.go
@@ -15,6 +15,7 @@
 const (
 	tagBetween   = "between"
 	tagAddrPort  = "ipport"
+	tagAddrPorts = "ipports"
 	tagKeyDigest = "keydigest"
 	tagName      = "name"
 )
@@ -40,6 +41,26 @@
 	return keyDigestPattern.MatchString(text)
 }
 
+// ParseAddrPorts parses "ip:port" or "ip:first-last", with first not above last. It
+// returns the first address and the last port.
+func ParseAddrPorts(text string) (first netip.AddrPort, last uint16, ok bool) {
+	colon := strings.LastIndexByte(text, ':')
+	dash := strings.LastIndexByte(text, '-')
+	end := text
+	if dash > colon {
+		text, end = text[:dash], text[:colon+1]+text[dash+1:]
+	}
+	first, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}, 0, false
+	}
+	lastAddress, err := netip.ParseAddrPort(end)
+	if err != nil || lastAddress.Port() < first.Port() {
+		return netip.AddrPort{}, 0, false
+	}
+	return first, lastAddress.Port(), true
+}
+
 var structValidator = newStructValidator()
 
 func newStructValidator() *validator.Validate {
@@ -50,6 +71,10 @@
 		_, err := netip.ParseAddrPort(field.Field().String())
 		return err == nil
 	})
+	mustRegister(v, tagAddrPorts, func(field validator.FieldLevel) bool {
+		_, _, ok := ParseAddrPorts(field.Field().String())
+		return ok
+	})
 	mustRegister(v, tagKeyDigest, func(field validator.FieldLevel) bool {
 		return IsKeyDigest(field.Field().String())
 	})
@@ -70,6 +95,7 @@
 //   - between: two inclusive bounds, separated by a space and each in the JSON
 //     form of the field's type, without quotes,
 //   - ipport: an IP address and port,
+//   - ipports: a text that ParseAddrPorts accepts,
 //   - keydigest: a text that IsKeyDigest accepts,
 //   - name: a text that IsValidName accepts.
 func Validate(value any) []Fault {
@@ -94,6 +120,8 @@
 		return strings.Replace(failure.Param(), " ", " to ", 1)
 	case tagAddrPort:
 		return `an IP address and port, such as "10.0.0.1:8080"`
+	case tagAddrPorts:
+		return `an IP address with a port or a range of ports, such as "10.0.0.1:8080" or "10.0.0.1:8080-8090"`
 	case tagKeyDigest:
 		return KeyDigestFormat
 	case tagName:
--- a/internal/ports/dispatch_messages.go
+++ b/internal/ports/dispatch_messages.go
@@ -35,6 +35,30 @@
 	// ServerLimits are the limits of backend servers that the sender has learned of, or
 	// that were confirmed to it, since its last message to the receiver.
 	ServerLimits []ServerLimitReport `cbor:"13,keyasint,omitempty"`
+	// Handover is the sender's offer to serve connections for its peers. It is absent
+	// if the sender takes none over.
+	Handover *HandoverOffer `cbor:"14,keyasint,omitempty"`
+}
+
+// HandoverOffer is a daemon's offer to serve callers' connections that other daemons of
+// its failure domain accepted.
+type HandoverOffer struct {
+	_ struct{} `cbor:",toarray"`
+	// Domain is the failure domain of the daemon.
+	Domain FailureDomain
+	// Address is the "ip:port" at which the daemon takes connections over.
+	Address string
+	// SpareMillicores is the processor time that the daemon has to spare, in
+	// thousandths of a core.
+	SpareMillicores int64
+}
+
+// HandoverOffers exchanges offers with the other daemons of the failure domain.
+type HandoverOffers interface {
+	// OwnOffer returns this daemon's offer, or nil if it takes no connections over.
+	OwnOffer() *HandoverOffer
+	// SetPeerOffer records the offer of another daemon, nil if it makes none.
+	SetPeerOffer(from DaemonID, offer *HandoverOffer)
 }
 
 // ServerLimitReport reports the requests per second that a backend server takes from all
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -76,6 +77,9 @@
 	if s.Platform.Interface == InterfaceObjects && s.Listen.Readiness == "" {
 		faults = append(faults, fieldcheck.NewFault("listen.readiness", `""`, required))
 	}
+	if s.Platform.Interface != InterfaceObjects && s.Listen.Handover != "" {
+		faults = append(faults, fieldcheck.NewFault("listen.handover", strconv.Quote(s.Listen.Handover), `no value, except with the interface "objects"`))
+	}
 	return faults
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,6 +56,11 @@
 	// whether the daemon takes calls. Required by the interface "objects", else
 	// unused.
 	Readiness string `json:"readiness,omitempty" validate:"omitempty,ipport"`
+	// Handover is the address on which other daemons of the failure domain hand
+	// callers' connections over, as "ip:port" or "ip:first-last"; of a range, the
+	// first free port is taken that is not in another of these addresses. Interface
+	// "objects" only. Default: no connections are handed over.
+	Handover string `json:"handover,omitempty" validate:"omitempty,ipports"`
 }
 
 // Values of Platform.Interface.
@@ -128,6 +133,9 @@
 	// summed over all its scheduling delays, before requests are shed. Default:
 	// 200ms; 1ms to 10s.
 	MaxProcessorWait configuration.Duration `json:"processorWait,omitempty" validate:"between=1ms 10s"`
+	// Processors is the processor time per second that the process may use, in
+	// cores. Default: the number of processors that it sees; 0.01 to 1024.
+	Processors float64 `json:"processors,omitempty" validate:"omitempty,between=0.01 1024"`
 	// Memory is the process's memory limit; garbage collection becomes more
 	// frequent well below it. Default: no limit; 16MiB to 1GiB.
 	Memory Size `json:"memory,omitempty" validate:"omitempty,between=16MiB 1GiB"`
