--- a/internal/adapters/callerhttp/handover.go
+++ b/internal/adapters/callerhttp/handover.go
@@ -40,12 +40,6 @@
 	// connectionsPerRelay is what a relay counts for in the limit of connections: two
 	// file descriptors, and two goroutines with a buffer each.
 	connectionsPerRelay = 2
-	// takenOverIdleTimeout is how long a connection that was taken over stays open
-	// without a request, and takenOverLifetime the age from which it is closed after its
-	// next answer, so that the daemon that relays it soon gets rid of it, at the latest
-	// within its own announcement of a stop.
-	takenOverIdleTimeout = time.Second
-	takenOverLifetime    = 1500 * time.Millisecond
 )
 
 // Outcomes of handing a connection over, as counted.
@@ -57,10 +51,6 @@
 	handoverOutcomeBusy        = "too-many-at-once"
 )
 
-// takenOverKey is the key, in a connection's context, of the time at which the
-// connection was taken over from another daemon.
-type takenOverKey struct{}
-
 // handover hands new connections over to other daemons and takes connections over from
 // them.
 type handover struct {
@@ -277,6 +267,7 @@
 // have ended, or the context is done. It then closes their connections and returns an
 // error.
 func (h *handover) stop(ctx context.Context) error {
+	h.table.announceStop()
 	err := h.httpServer.Shutdown(ctx)
 	done := make(chan struct{})
 	go func() {
@@ -294,92 +285,3 @@
 	}
 	return err
 }
-
-// takeOverListener accepts the connections that other daemons hand over. It confirms
-// each one, or closes it unread.
-type takeOverListener struct {
-	net.Listener
-	handover *handover
-}
-
-// Accept implements net.Listener.
-func (l *takeOverListener) Accept() (net.Conn, error) {
-	h := l.handover
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		reason := l.refusalReason(conn)
-		if reason == "" {
-			if _, err := conn.Write([]byte{handoverAccepted}); err == nil {
-				h.takenOver.Inc(1)
-				h.server.enableKeepAlive(conn)
-				return conn, nil
-			}
-			reason = closeReasonCallerGone
-		}
-		h.refused.Inc(reason)
-		if h.logLimiter.Allow("take-over-refused", reason) {
-			h.logger.Info().Str("event", "take-over-refused").Str("reason", reason).Msg("")
-		}
-		closeWithReset(conn)
-	}
-}
-
-// refusalReason returns why a connection is not taken over, or "".
-func (l *takeOverListener) refusalReason(conn net.Conn) string {
-	server := l.handover.server
-	if server.stopAnnounced.Load() {
-		return closeReasonStopping
-	}
-	return server.closeReason(conn)
-}
-
-// isTakenOver reports whether the request came over a connection that another daemon
-// handed over, and whether that is to be closed after the answer.
-func isTakenOver(ctx context.Context) (takenOver, shouldClose bool) {
-	at, takenOver := ctx.Value(takenOverKey{}).(time.Time)
-	return takenOver, takenOver && time.Since(at) >= takenOverLifetime
-}
-
-// returnedListener passes connections that no peer took over to this daemon's server.
-type returnedListener struct {
-	address net.Addr
-	conns   chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
-}
-
-func newReturnedListener(address net.Addr) *returnedListener {
-	return &returnedListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-// deliver passes a connection to the server. After Close it closes the connection, from
-// which nothing has been read.
-func (l *returnedListener) deliver(conn net.Conn) {
-	select {
-	case l.conns <- conn:
-	case <-l.closed:
-		closeWithReset(conn)
-	}
-}
-
-// Accept implements net.Listener.
-func (l *returnedListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.conns:
-		return conn, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener.
-func (l *returnedListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-// Addr implements net.Listener.
-func (l *returnedListener) Addr() net.Addr { return l.address }
--- a/internal/adapters/callerhttp/handover_test.go
+++ b/internal/adapters/callerhttp/handover_test.go
@@ -27,7 +27,7 @@
 }
 
 // startHandoverDaemon starts a daemon of the failure domain "d".
-func startHandoverDaemon(t *testing.T, executor ports.Executor) *handoverDaemon {
+func startHandoverDaemon(t testing.TB, executor ports.Executor) *handoverDaemon {
 	t.Helper()
 	s := &settings.Settings{
 		VM:     settings.VM{FailureDomain: "d"},
@@ -121,7 +121,7 @@
 	return outcome.Result{End: outcome.Ran}
 }
 
-func (d *handoverDaemon) get(t *testing.T) (*http.Response, error) {
+func (d *handoverDaemon) get(t testing.TB) (*http.Response, error) {
 	t.Helper()
 	transport := &http.Transport{DisableKeepAlives: true}
 	return transport.RoundTrip(newRequest(t, http.MethodPost, "http://"+d.callersAddress+"/services/registry/x", "body"))
--- a/internal/adapters/callerhttp/handovertable.go
+++ b/internal/adapters/callerhttp/handovertable.go
@@ -17,7 +17,7 @@
 
 // HandoverTable holds the offers of the failure domain's daemons to serve connections
 // for each other, and decides which connections this daemon hands over. It implements
-// ports.HandoverOffers and is safe for concurrent use.
+// ports.HandoverOffers and ports.HandoverView and is safe for concurrent use.
 type HandoverTable struct {
 	domain ports.FailureDomain
 
@@ -56,9 +56,7 @@
 	if t.address == "" || t.stopping {
 		return nil
 	}
-	return &ports.HandoverOffer{
-		Domain: t.domain, Address: t.address, SpareMillicores: int64(math.Floor(t.decision.Spare() * millicores)),
-	}
+	return &ports.HandoverOffer{Domain: t.domain, Address: t.address, SpareMillicores: toMillicores(t.decision.Spare())}
 }
 
 // SetPeerOffer implements ports.HandoverOffers. An offer from another failure domain is
@@ -79,6 +77,28 @@
 	t.decision.SetOffer(time.Now(), peer, float64(offer.SpareMillicores)/millicores)
 }
 
+// HandoverStatus implements ports.HandoverView.
+func (t *HandoverTable) HandoverStatus() *ports.HandoverStatus {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.address == "" {
+		return nil
+	}
+	now := time.Now()
+	status := &ports.HandoverStatus{
+		Address: t.address, Fraction: t.decision.Fraction(), SpareMillicores: toMillicores(t.decision.Spare()),
+		Peers: make(map[ports.DaemonID]int64, len(t.peers)),
+	}
+	for daemon, peer := range t.peers {
+		status.Peers[daemon] = toMillicores(t.decision.SpareOf(now, peer))
+	}
+	return status
+}
+
+func toMillicores(cores float64) int64 {
+	return int64(math.Floor(cores * millicores))
+}
+
 // start makes this daemon offer to take connections over at the address, and hand its
 // own over.
 func (t *HandoverTable) start(address string) {
--- a/internal/adapters/callerhttp/server_test.go
+++ b/internal/adapters/callerhttp/server_test.go
@@ -93,7 +93,7 @@
 	return listener, server, scope
 }
 
-func newRequest(t *testing.T, method, url, body string) *http.Request {
+func newRequest(t testing.TB, method, url, body string) *http.Request {
 	t.Helper()
 	request, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
--- a/internal/adapters/operatorhttp/server.go
+++ b/internal/adapters/operatorhttp/server.go
@@ -51,6 +51,7 @@
 	MetricsHandler  http.Handler              `name:"metrics" optional:"true"`
 	Sharing         ports.SharingView         `optional:"true"`
 	CallHistory     ports.CallHistory         `optional:"true"`
+	Handover        ports.HandoverView        `optional:"true"`
 }
 
 // Server serves the operators' address. Its fields don't change after New, so it
--- a/internal/adapters/operatorhttp/status.go
+++ b/internal/adapters/operatorhttp/status.go
@@ -56,6 +56,9 @@
 	if s.params.Sharing != nil {
 		status.Services = append(status.Services, s.params.Sharing.Services()...)
 	}
+	if s.params.Handover != nil {
+		status.Handover = s.params.Handover.HandoverStatus()
+	}
 	s.writeJSON(w, status)
 }
 
--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -102,6 +102,7 @@
 var handoverModule = fx.Provide(
 	callerhttp.NewHandoverTable,
 	func(t *callerhttp.HandoverTable) ports.HandoverOffers { return t },
+	func(t *callerhttp.HandoverTable) ports.HandoverView { return t },
 )
 
 // Run starts the daemon and serves until a signal or a planned stop, then drains
--- a/internal/core/overload/handover.go
+++ b/internal/core/overload/handover.go
@@ -204,6 +204,15 @@
 	return last
 }
 
+// SpareOf returns the processor time that a peer is taken to have left, in cores.
+func (h *Handover[ID]) SpareOf(now time.Time, id ID) float64 {
+	peer := h.find(id)
+	if peer == nil || now.Sub(peer.offeredAt) > offerMaxAge {
+		return 0
+	}
+	return peer.estimate(now)
+}
+
 // totalSpare returns the sum of the peers' spare times and forgets old offers.
 func (h *Handover[ID]) totalSpare(now time.Time) float64 {
 	h.peers = slices.DeleteFunc(h.peers, func(p *handoverPeer[ID]) bool { return now.Sub(p.offeredAt) > offerMaxAge })
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -75,6 +75,17 @@
 	for _, service := range status.Services {
 		c.printService(service)
 	}
+	if status.Handover != nil {
+		c.printHandover(status.Handover)
+	}
+}
+
+func (c *statusCommand) printHandover(handover *ports.HandoverStatus) {
+	c.printf("hand-over of connections: part %.2f, own spare %d millicores, taken over at %s\n",
+		handover.Fraction, handover.SpareMillicores, handover.Address)
+	for _, peer := range slices.Sorted(maps.Keys(handover.Peers)) {
+		c.printf("  %s: %d millicores\n", peer, handover.Peers[peer])
+	}
 }
 
 // printService prints one service. The fairness gap is computed from the levels in
--- a/internal/ports/dispatch_messages.go
+++ b/internal/ports/dispatch_messages.go
@@ -40,27 +40,6 @@
 	Handover *HandoverOffer `cbor:"14,keyasint,omitempty"`
 }
 
-// HandoverOffer is a daemon's offer to serve callers' connections that other daemons of
-// its failure domain accepted.
-type HandoverOffer struct {
-	_ struct{} `cbor:",toarray"`
-	// Domain is the failure domain of the daemon.
-	Domain FailureDomain
-	// Address is the "ip:port" at which the daemon takes connections over.
-	Address string
-	// SpareMillicores is the processor time that the daemon has to spare, in
-	// thousandths of a core.
-	SpareMillicores int64
-}
-
-// HandoverOffers exchanges offers with the other daemons of the failure domain.
-type HandoverOffers interface {
-	// OwnOffer returns this daemon's offer, or nil if it takes no connections over.
-	OwnOffer() *HandoverOffer
-	// SetPeerOffer records the offer of another daemon, nil if it makes none.
-	SetPeerOffer(from DaemonID, offer *HandoverOffer)
-}
-
 // ServerLimitReport reports the requests per second that a backend server takes from all
 // daemons together.
 type ServerLimitReport struct {
--- /dev/null
+++ b/internal/ports/handover.go
@@ -0,0 +1,41 @@
+package ports
+
+// HandoverOffer is a daemon's offer to serve callers' connections that other daemons of
+// its failure domain accepted.
+type HandoverOffer struct {
+	_ struct{} `cbor:",toarray"`
+	// Domain is the failure domain of the daemon.
+	Domain FailureDomain
+	// Address is the "ip:port" at which the daemon takes connections over.
+	Address string
+	// SpareMillicores is the processor time that the daemon has to spare, in
+	// thousandths of a core.
+	SpareMillicores int64
+}
+
+// HandoverOffers exchanges offers with the other daemons of the failure domain.
+type HandoverOffers interface {
+	// OwnOffer returns this daemon's offer, or nil if it takes no connections over.
+	OwnOffer() *HandoverOffer
+	// SetPeerOffer records the offer of another daemon, nil if it makes none.
+	SetPeerOffer(from DaemonID, offer *HandoverOffer)
+}
+
+// HandoverStatus is the state of handing callers' connections over.
+type HandoverStatus struct {
+	// Address is where this daemon takes connections over.
+	Address string `json:"address"`
+	// Fraction is the part of its new connections that this daemon hands over.
+	Fraction float64 `json:"fraction"`
+	// SpareMillicores is the processor time that this daemon offers.
+	SpareMillicores int64 `json:"spareMillicores"`
+	// Peers are the daemons that offer to take connections over, with the processor
+	// time that each is taken to have left, in thousandths of a core.
+	Peers map[DaemonID]int64 `json:"peers,omitempty"`
+}
+
+// HandoverView shows the state of handing callers' connections over.
+type HandoverView interface {
+	// HandoverStatus returns nil if this daemon hands no connections over.
+	HandoverStatus() *HandoverStatus
+}
--- a/internal/ports/operators.go
+++ b/internal/ports/operators.go
@@ -80,6 +80,8 @@
 	Shards []ShardOwner `json:"shards"`
 	// Services is the sharing of each service as this daemon sees it.
 	Services []ServiceStatus `json:"services"`
+	// Handover is nil if the daemon hands no connections over.
+	Handover *HandoverStatus `json:"handover,omitempty"`
 }
 
 // ShardOwner names the daemon that grants the slots of a shard.
