--- a/internal/adapters/callerhttp/handover.go
+++ b/internal/adapters/callerhttp/handover.go
@@ -34,6 +34,8 @@
 	// maxHandoversInProgress is the number of connections for which peers are being
 	// asked at once. With more, this daemon has no time left to hand over.
 	maxHandoversInProgress = 64
+	// loadLogPeriod is the time between two lines of the log about handing over.
+	loadLogPeriod = time.Second
 	// handoverAccepted is the byte by which a daemon confirms that it takes a
 	// connection over. Nothing else is added to what caller and daemon send.
 	handoverAccepted = 0x01
@@ -69,13 +71,16 @@
 	relayGauge tally.Gauge
 	partGauge  tally.Gauge
 	useGauge   tally.Gauge
-	// wasBusy is used by observeLoad only.
-	wasBusy    bool
-	outcomes   *metrics.CounterVec
-	refused    *metrics.CounterVec
-	takenOver  tally.Counter
-	logLimiter *logging.Limiter
-	logger     *log.Logger
+	// handedOver counts the connections that peers took over.
+	handedOver atomic.Int64
+	// wasBusy and loadLoggedAt are used by observeLoad only.
+	wasBusy      bool
+	loadLoggedAt time.Time
+	outcomes     *metrics.CounterVec
+	refused      *metrics.CounterVec
+	takenOver    tally.Counter
+	logLimiter   *logging.Limiter
+	logger       *log.Logger
 }
 
 // newHandover returns the hand-over of a server, or nil if the settings or the platform
@@ -201,6 +206,7 @@
 		h.outcomes.Inc(outcome)
 		h.logHandedOver(peer, outcome)
 		if conn != nil {
+			h.handedOver.Add(1)
 			return conn
 		}
 		h.table.withdraw(peer)
@@ -221,6 +227,7 @@
 // observeLoad records a measurement of this daemon's load.
 func (h *handover) observeLoad(now time.Time, use float64, lag time.Duration) {
 	fraction := h.table.observe(now, overload.Load{Use: use, Lag: lag})
+	h.logLoad(now, fraction, use, lag)
 	h.partGauge.Update(fraction)
 	h.useGauge.Update(use)
 	if isBusy := fraction > 0; isBusy != h.wasBusy {
@@ -235,6 +242,18 @@
 	}
 }
 
+// logLoad logs once a second how much is handed over.
+func (h *handover) logLoad(now time.Time, fraction, use float64, lag time.Duration) {
+	if fraction == 0 || now.Sub(h.loadLoggedAt) < loadLogPeriod {
+		return
+	}
+	h.loadLoggedAt = now
+	h.logger.Info().Str("event", "handover-load").Float64("part", fraction).Float64("use", use).Dur("late", lag).
+		Float64("turnedAway", h.server.shedder.shedFraction()).Int64("handedOver", h.handedOver.Load()).
+		Int64("closedUnread", h.server.closedUnread.Load()).Int64("relays", h.openRelays.Load()).
+		Int64("inProgress", h.inProgress.Load()).Msg("")
+}
+
 // shouldGather reports whether relays should save work by passing bytes on together.
 func (h *handover) shouldGather() bool {
 	return h.table.fraction() > 0
--- a/internal/adapters/callerhttp/listener.go
+++ b/internal/adapters/callerhttp/listener.go
@@ -68,6 +68,7 @@
 			return conn, nil
 		}
 		l.closedUnread.Inc(reason)
+		l.server.closedUnread.Add(1)
 		if l.server.logLimiter.Allow("connection-closed-unread", reason) {
 			l.server.logger.Info().Str("event", "connection-closed-unread").Str("reason", reason).
 				Float64("turnedAway", l.server.shedder.shedFraction()).Int64("open", l.server.connections.open.Load()).Msg("")
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -68,6 +68,8 @@
 	stopOnce        sync.Once
 	httpServer      *http.Server
 	listen          settings.Listen
+	// closedUnread counts the new connections that were closed unread.
+	closedUnread atomic.Int64
 	// handover is nil if no connections are handed over.
 	handover *handover
 }
