--- a/internal/adapters/callerhttp/handover.go
+++ b/internal/adapters/callerhttp/handover.go
@@ -33,7 +33,7 @@
 	maxHandoverTries = 2
 	// maxHandoversInProgress is the number of connections for which peers are being
 	// asked at once. With more, this daemon has no time left to hand over.
-	maxHandoversInProgress = 64
+	maxHandoversInProgress = 32
 	// loadLogPeriod is the time between two lines of the log about handing over.
 	loadLogPeriod = time.Second
 	// handoverAccepted is the byte by which a daemon confirms that it takes a
@@ -155,10 +155,10 @@
 // to be served here. Nothing has been read from the connection.
 func (h *handover) handOver(conn net.Conn) bool {
 	caller, ok := conn.(*net.TCPConn)
-	if !ok || !h.table.shouldHandOver(h.server.shedder) {
+	if !ok || !h.table.shouldHandOver(h.server.shedder.shedFraction()) {
 		return false
 	}
-	if h.inProgress.Load() >= maxHandoversInProgress {
+	if h.isBusy() {
 		h.outcomes.Inc(handoverOutcomeBusy)
 		return false
 	}
@@ -175,6 +175,17 @@
 	return true
 }
 
+// isExhausted reports whether new connections that are shed could not be handed over.
+func (h *handover) isExhausted() bool {
+	return h.isBusy() || h.table.isExhausted()
+}
+
+// isBusy reports whether peers are being asked for so many connections that this daemon
+// has no time left to hand over more.
+func (h *handover) isBusy() bool {
+	return h.inProgress.Load() >= maxHandoversInProgress
+}
+
 func (h *handover) countRelay(delta int64) {
 	h.relayGauge.Update(float64(h.openRelays.Add(delta)))
 	h.server.connections.add(connectionsPerRelay * delta)
@@ -185,6 +196,8 @@
 func (h *handover) relay(caller *net.TCPConn, peer handoverPeer) {
 	conn := h.findPeer(peer)
 	switch {
+	case conn == nil && h.server.shedder.shouldCloseUnread():
+		closeWithReset(caller)
 	case conn == nil:
 		h.returned.deliver(caller)
 	case hungUp(caller):
--- a/internal/adapters/callerhttp/handovertable.go
+++ b/internal/adapters/callerhttp/handovertable.go
@@ -134,16 +134,17 @@
 }
 
 // shouldHandOver decides for one new connection.
-func (t *HandoverTable) shouldHandOver(shedder *loadShedder) bool {
+func (t *HandoverTable) shouldHandOver(shedFraction float64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.address == "" || t.stopping {
-		return false
-	}
-	if t.decision.IsExhausted() && shedder.shouldCloseUnread() {
-		return false
-	}
-	return t.decision.ShouldHandOver(rand.Float64(), shedder.shedFraction())
+	return t.address != "" && !t.stopping && t.decision.ShouldHandOver(rand.Float64(), shedFraction)
+}
+
+// isExhausted reports whether handing over can reduce this daemon's work no further.
+func (t *HandoverTable) isExhausted() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.address == "" || t.stopping || t.decision.IsExhausted()
 }
 
 // choose returns the peer for a connection that is to be handed over, and false if no
--- a/internal/adapters/callerhttp/listener.go
+++ b/internal/adapters/callerhttp/listener.go
@@ -52,6 +52,9 @@
 // Accept implements net.Listener.
 func (l *sheddingListener) Accept() (net.Conn, error) {
 	for {
+		for l.server.shouldCloseNext() && resetNextConnection(l.Listener) {
+			l.countClosed(closeReasonOverload)
+		}
 		conn, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
@@ -67,16 +70,27 @@
 			l.server.enableKeepAlive(conn)
 			return conn, nil
 		}
-		l.closedUnread.Inc(reason)
-		l.server.closedUnread.Add(1)
-		if l.server.logLimiter.Allow("connection-closed-unread", reason) {
-			l.server.logger.Info().Str("event", "connection-closed-unread").Str("reason", reason).
-				Float64("turnedAway", l.server.shedder.shedFraction()).Int64("open", l.server.connections.open.Load()).Msg("")
-		}
+		l.countClosed(reason)
 		closeWithReset(conn)
 	}
 }
 
+// countClosed counts and logs a connection that is closed unread.
+func (l *sheddingListener) countClosed(reason string) {
+	l.closedUnread.Inc(reason)
+	l.server.closedUnread.Add(1)
+	if l.server.logLimiter.Allow("connection-closed-unread", reason) {
+		l.server.logger.Info().Str("event", "connection-closed-unread").Str("reason", reason).
+			Float64("turnedAway", l.server.shedder.shedFraction()).Int64("open", l.server.connections.open.Load()).Msg("")
+	}
+}
+
+// shouldCloseNext decides for the next new connection whether to close it unread
+// because of overload, if it is waiting already.
+func (s *Server) shouldCloseNext() bool {
+	return s.shedder.shouldCloseUnread() && (s.handover == nil || s.handover.isExhausted())
+}
+
 // unservedReason returns why no daemon should serve a new connection, or "". A caller
 // that waited for its connection longer than its maximum wait has already hung up.
 func (s *Server) unservedReason(conn net.Conn) string {
--- a/internal/core/overload/handover.go
+++ b/internal/core/overload/handover.go
@@ -157,10 +157,10 @@
 	return random < max(h.fraction, shedFraction)
 }
 
-// IsExhausted reports whether all new connections are handed over, so that only shedding
-// can reduce this daemon's work further.
+// IsExhausted reports whether this daemon is late though all new connections are handed
+// over, so that only shedding can reduce its work further.
 func (h *Handover[ID]) IsExhausted() bool {
-	return h.fraction >= 1
+	return h.fraction >= 1 && h.isLate()
 }
 
 // ShouldRelease decides by a random number from 0 to 1 whether a kept connection is
