One late measurement at full use begins the hand-over; what hard load runs into

Cause: under a burst of hundreds of connections the second measurement of the lag comes 200 ms late, and the daemon served and shed meanwhile.

--- a/internal/adapters/callerhttp/listener_test.go
+++ b/internal/adapters/callerhttp/listener_test.go
@@ -1,10 +1,12 @@
 package callerhttp
 
 import (
+	"errors"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -143,3 +145,26 @@
 		t.Errorf("not ready after joining the rotation again: %s", reason)
 	}
 }
+
+// Under overload, waiting connections are closed without being accepted as Go's.
+func TestWaitingConnectionsAreReset(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	if resetNextConnection(listener) {
+		t.Fatal("a connection was closed where none was waiting")
+	}
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if !resetNextConnection(listener) {
+		t.Skip("not on this system")
+	}
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ends with %v, want a reset", err)
+	}
+}
--- a/internal/core/overload/handover.go
+++ b/internal/core/overload/handover.go
@@ -16,6 +16,9 @@
 	// lateFraction is the lag from which a daemon counts as late, as a fraction of
 	// the allowed lag: it hands over before requests have to be shed.
 	lateFraction = 0.5
+	// fullUse is the part of its processor time from which a single late measurement
+	// shows a burst rather than a pause.
+	fullUse = 0.9
 	// handoverIncreasePerSecond is what each second at full use adds to the fraction
 	// of new connections that is handed over, and handoverDecreasePerSecond what each
 	// idle second subtracts.
@@ -86,6 +89,9 @@
 	weight := 1 - math.Exp(-float64(elapsed)/float64(useSmoothing))
 	h.use += (load.Use - h.use) * weight
 	h.consecutiveLate++
+	if load.Lag >= h.allowedLag && load.Use >= fullUse*h.cores {
+		h.consecutiveLate = max(h.consecutiveLate, minConsecutiveLate)
+	}
 	if float64(load.Lag) < lateFraction*float64(h.allowedLag) {
 		h.consecutiveLate = 0
 	}
@@ -105,8 +111,8 @@
 	}
 }
 
-// isLate reports whether consecutive measurements were late; a single one may be
-// caused by the garbage collector or a pause.
+// isLate reports whether consecutive measurements were late, or one that left no
+// processor time unused; another single one may be caused by a pause.
 func (h *Handover[ID]) isLate() bool {
 	return h.consecutiveLate >= minConsecutiveLate
 }
--- a/internal/core/overload/handover_test.go
+++ b/internal/core/overload/handover_test.go
@@ -150,6 +150,40 @@
 	}
 }
 
+// A burst has raised the shed fraction, which falls within seconds only. Once the daemon
+// is in time again, it hands over what it would shed.
+func TestDaemonInTimeHandsOverInsteadOfShedding(t *testing.T) {
+	now := simulatedTime(0)
+	h := NewHandover[string](0.144, allowedTestLag)
+	observe := func(lag time.Duration) {
+		now = now.Add(MeasurementPeriod)
+		h.Observe(now, Load{Use: 0.144, Lag: lag})
+	}
+	for range 10 {
+		observe(5 * allowedTestLag)
+	}
+	if !h.IsExhausted() {
+		t.Fatalf("the daemon hands over a fraction of %.2f under a burst", h.Fraction())
+	}
+	observe(allowedTestLag / 10)
+	if h.IsExhausted() || !h.ShouldHandOver(0.9, 0.95) {
+		t.Error("the daemon sheds though it is in time")
+	}
+}
+
+// A burst takes all processor time from one measurement to the next, which comes late for
+// it. The daemon hands over from then on.
+func TestBurstIsHandedOverAfterOneMeasurement(t *testing.T) {
+	now := simulatedTime(0)
+	h := NewHandover[string](0.144, allowedTestLag)
+	h.Observe(now, Load{Use: 0.02})
+	const lag = 200 * time.Millisecond
+	h.Observe(now.Add(MeasurementPeriod+lag), Load{Use: 0.144, Lag: lag})
+	if h.Fraction() < 0.9 {
+		t.Errorf("a fraction of %.2f is handed over after %v of full use", h.Fraction(), lag)
+	}
+}
+
 // Several daemons are late at once and know the same offers. Each spreads its connections
 // over the peers by their spare time until these tell what came.
 func TestConnectionsAreSpreadOverPeersBySpareTime(t *testing.T) {
