--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -40,6 +40,23 @@
 	}
 }
 
+func TestHandoverAddressIsChecked(t *testing.T) {
+	tests := map[string]bool{
+		"127.0.0.1:8084": true, "127.0.0.1:8080-8090": true, "[::1]:8080-8090": true, "127.0.0.1:8084-8084": true,
+		"127.0.0.1:8090-8080": false, "127.0.0.1": false, "127.0.0.1:8080-": false, "host:1-2": false, "127.0.0.1:8080-70000": false,
+	}
+	for address, valid := range tests {
+		text := strings.Replace(validSettings, `"peers":`, `"handover": "`+address+`", "readiness": "127.0.0.1:8083", "peers":`, 1)
+		if _, err := Parse([]byte(text)); err == nil {
+			t.Errorf("%s is accepted with the interface %q", address, InterfaceOwn)
+		}
+		text = strings.Replace(text, `"platform": {`, `"platform": {"interface": "objects", `, 1)
+		if _, err := Parse([]byte(text)); (err == nil) != valid {
+			t.Errorf("%s: %v, want valid %t", address, err, valid)
+		}
+	}
+}
+
 func TestParseReportsAllFaultsAtOnce(t *testing.T) {
 	text := `{
 	  "vm": {"name": "", "failureDomain": 7, "region": "r", "zone": "z"},
