--- a/internal/adapters/callerhttp/listener_stop_test.go
+++ b/internal/adapters/callerhttp/listener_stop_test.go
@@ -39,7 +39,7 @@
 	t.Cleanup(func() { _ = inner.Close() })
 	gated := &gatedListener{Listener: inner, accepting: make(chan struct{}, 2*callers), gate: make(chan struct{})}
 	listener := newSheddingListener(gated, server, scope)
-	server.serve(listener)
+	server.startServing(listener)
 	<-gated.accepting
 	var waiting, answered sync.WaitGroup
 	statuses := make([]int, callers)
@@ -87,7 +87,7 @@
 	}
 	t.Cleanup(func() { _ = inner.Close() })
 	listener := newSheddingListener(inner, server, scope)
-	server.serve(listener)
+	server.startServing(listener)
 	conn, err := net.Dial("tcp", inner.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/adapters/callerhttp/server_test.go
+++ b/internal/adapters/callerhttp/server_test.go
@@ -85,7 +85,7 @@
 		t.Fatal(err)
 	}
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	server := New(s, fixedConfiguration{revision: revision}, executor, DefaultDialect(), scope, logger)
+	server := New(s, fixedConfiguration{revision: revision}, executor, DefaultDialect(), nil, scope, logger)
 	listener := httptest.NewUnstartedServer(nil)
 	listener.Config = server.httpServer
 	listener.Start()
@@ -93,7 +93,7 @@
 	return listener, server, scope
 }
 
-func newRequest(t *testing.T, method, url, body string) *http.Request {
+func newRequest(t testing.TB, method, url, body string) *http.Request {
 	t.Helper()
 	request, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
--- a/internal/adapters/operatorhttp/server.go
+++ b/internal/adapters/operatorhttp/server.go
@@ -52,6 +52,7 @@
 	Sharing         ports.SharingView         `optional:"true"`
 	Evacuations     ports.EvacuationView      `optional:"true"`
 	CallHistory     ports.CallHistory         `optional:"true"`
+	Handover        ports.HandoverView        `optional:"true"`
 }
 
 // Server serves the operators' address. Its fields don't change after New, so it
--- a/internal/adapters/operatorhttp/status.go
+++ b/internal/adapters/operatorhttp/status.go
@@ -59,6 +59,9 @@
 	if s.params.Evacuations != nil {
 		status.Evacuations = s.params.Evacuations.Evacuations()
 	}
+	if s.params.Handover != nil {
+		status.Handover = s.params.Handover.HandoverStatus()
+	}
 	s.writeJSON(w, status)
 }
 
--- a/internal/app/dispatch/exchange.go
+++ b/internal/app/dispatch/exchange.go
@@ -58,6 +58,9 @@
 	}
 	message := m.newLoadMessage(now, digest)
 	message.SetEvacuations(evacuations)
+	if m.handover != nil {
+		message.Handover = m.handover.OwnOffer()
+	}
 	var aggregate *ports.LoadMessage
 	if topology.IsAggregator &&
 		now.Sub(m.exchange.aggregateSentAt) >= aggregatePeriod+time.Duration(len(daemons))*aggregatePeriodPerDaemon {
@@ -198,6 +201,9 @@
 	m.pullNewerList(from, message.ServerListDigest())
 	m.pullNewerEvacuations(from, message)
 	m.relayAggregate(message)
+	if m.handover != nil && message.Domain == "" {
+		m.handover.SetPeerOffer(from, message.Handover)
+	}
 	now := time.Now()
 	source := core.Source{Daemon: from}
 	if message.Domain != "" {
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -58,6 +58,8 @@
 	Settings *settings.Settings `optional:"true"`
 	// Evacuations may be missing: only the configuration then evacuates domains.
 	Evacuations ports.EvacuationFeed `optional:"true"`
+	// Handover may be missing: no connections are handed over then.
+	Handover ports.HandoverOffers `optional:"true"`
 }
 
 // Manager implements ports.SlotBroker and ports.ServerNotices. It is safe for concurrent use.
@@ -77,6 +79,7 @@
 	transport             ports.PeerTransport
 	configuration         ports.ConfigurationSource
 	warmUp                settings.WarmUp
+	handover              ports.HandoverOffers
 	lists                 *listExchange
 	evacuations           *evacuationExchange
 	evacuationCounter     *metrics.CounterVec
@@ -134,6 +137,7 @@
 		transport:             p.Transport,
 		configuration:         p.Configuration,
 		warmUp:                warmUpSettings(p.Settings),
+		handover:              p.Handover,
 		lists:                 newListExchange(p.List),
 		evacuations:           newEvacuationExchange(p.Evacuations),
 		evacuationCounter:     metrics.NewCounterVec(scope, "evacuations", "domain", "change"),
--- a/internal/ports/dispatch_messages.go
+++ b/internal/ports/dispatch_messages.go
@@ -39,6 +39,9 @@
 	// EvacuationsEra is its era. Absent if the sender reads none.
 	Evacuations    *ServerListDigest `cbor:"14,keyasint,omitempty"`
 	EvacuationsEra uint64            `cbor:"15,keyasint,omitempty"`
+	// Handover is the sender's offer to serve connections for its peers. It is absent
+	// if the sender takes none over.
+	Handover *HandoverOffer `cbor:"16,keyasint,omitempty"`
 }
 
 // ServerLimitReport reports the requests per second that a backend server takes from all
--- a/internal/ports/operators.go
+++ b/internal/ports/operators.go
@@ -82,6 +82,8 @@
 	Services []ServiceStatus `json:"services"`
 	// Evacuations are the evacuated failure domains.
 	Evacuations []EvacuationStatus `json:"evacuations,omitempty"`
+	// Handover is nil if the daemon hands no connections over.
+	Handover *HandoverStatus `json:"handover,omitempty"`
 }
 
 // ShardOwner names the daemon that grants the slots of a shard.
