enginehttp: keep silent runs that no other engine can take over

A streamed run whose engine was silent for five times progressWithin was cancelled on the engine, although the engine answered each resumption with the run's stream and the run could not move: it may run only once, or its answer had begun. Such resumptions no longer count towards the limit; the call's deadline bounds the run. Repeatable runs without an event move on as before.

--- a/internal/adapters/enginehttp/backend_test.go
+++ b/internal/adapters/enginehttp/backend_test.go
@@ -139,13 +139,21 @@
 
 // runCall runs one repeatable call on a server with the given handler.
 func runCall(t *testing.T, ctx context.Context, handler http.Handler, stream bool) (ports.RunResult, *bufferSink) {
+	t.Helper()
+	return runCallOnce(t, ctx, handler, stream, true)
+}
+
+// runCallOnce runs a call, which may be repeatable, on a server with the given handler.
+func runCallOnce(
+	t *testing.T, ctx context.Context, handler http.Handler, stream, repeatable bool,
+) (ports.RunResult, *bufferSink) {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	client := backendhttp.NewClient(tally.NoopScope)
 	t.Cleanup(client.Close)
 	backend := New(client, func(ports.ServiceName) time.Duration { return 100 * time.Millisecond })
-	call := &ports.Call{ID: "r1", Service: "s", Stream: stream, Repeatable: true, Body: []byte("{}")}
+	call := &ports.Call{ID: "r1", Service: "s", Stream: stream, Repeatable: repeatable, Body: []byte("{}")}
 	vm := ports.VM{Name: "e1", Address: server.Listener.Addr().String()}
 	sink := new(bufferSink)
 	return backend.Run(ctx, call, vm, sink, func(ports.Cost) {}), sink
@@ -316,3 +324,40 @@
 		}
 	}
 }
+
+// An engine is silent for longer than all resumptions together, and still has the run each
+// time. A call that can't be run elsewhere is not given up.
+func TestSilentRunThatCannotMoveIsKept(t *testing.T) {
+	cases := map[string]struct {
+		silentAfter int
+		repeatable  bool
+	}{
+		"runs once":                        {0, false},
+		"repeatable, its answer has begun": {2, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := &fakeEngine{events: 5, breaksSilently: true, cancelled: make(chan string, 1)}
+			for range 2 * maxResumesWithoutEvent {
+				e.breakAfter = append(e.breakAfter, c.silentAfter)
+			}
+			result, sink := runCallOnce(t, testContext(t), e, true, c.repeatable)
+			checkCompleteStream(t, result, sink, e.events)
+			if e.runs != 1 || len(e.cancelled) > 0 {
+				t.Errorf("%d runs, %d cancelled", e.runs, len(e.cancelled))
+			}
+		})
+	}
+}
+
+// A repeatable call of which nothing was relayed leaves an engine that stays silent, so that
+// another one can run it.
+func TestSilentRunThatCanMoveIsGivenUp(t *testing.T) {
+	e := &fakeEngine{events: 5, breakAfter: make([]int, 2*maxResumesWithoutEvent), breaksSilently: true, cancelled: make(chan string, 1)}
+	if result, _ := runCall(t, testContext(t), e, true); result.Reason != outcome.ReasonConnectionSilent {
+		t.Errorf("got result %+v", result)
+	}
+	if id := <-e.cancelled; id != "r1" {
+		t.Errorf("run %q was cancelled, want \"r1\"", id)
+	}
+}
--- a/internal/adapters/enginehttp/stream.go
+++ b/internal/adapters/enginehttp/stream.go
@@ -55,10 +55,19 @@
 	result ports.RunResult
 	// resumable is true if the engine may still have the stream.
 	resumable bool
+	// isSlow is true if the engine answered with the stream of the run and was silent
+	// then.
+	isSlow bool
+}
+
+// canMove reports whether another engine may run the call.
+func (r *streamRun) canMove() bool {
+	return r.call.Repeatable && r.lastEventID == 0
 }
 
 // run starts the run and resumes it until it is complete or can't go on. A
-// connection that brings an event resets the backoff and the count of resumptions.
+// connection that brings an event resets the backoff and the count of resumptions; so
+// does, for a run that can't move, an engine that still has it but is slow.
 func (r *streamRun) run(ctx context.Context) ports.RunResult {
 	end := r.start(ctx)
 	resumeBackoff := newResumeBackoff()
@@ -67,11 +76,15 @@
 			break
 		}
 		lastBefore := r.lastEventID
+		end.isSlow = false
 		end = r.resume(ctx, end)
 		if r.lastEventID > lastBefore {
 			resumes = 0
 			resumeBackoff.Reset()
 		}
+		if end.isSlow && !r.canMove() {
+			resumes = 0
+		}
 	}
 	return r.completeResult(ctx, end)
 }
@@ -145,7 +158,9 @@
 	if exchange.Response.StatusCode != http.StatusOK || !isEventStream(exchange.Response) {
 		return previous
 	}
-	return r.relayEvents(ctx, exchange)
+	end := r.relayEvents(ctx, exchange)
+	end.isSlow = end.result.Reason == outcome.ReasonConnectionSilent
+	return end
 }
 
 // relayEvents relays events until the stream is complete or breaks. It skips events
