SPILLOVER: the decision which part of a domain's calls leaves it

Nobody decides for a failure domain when its calls run elsewhere: each call is placed by predicted times and two constants. A new section of the configuration calls for it.

--- a/internal/core/configuration/document.go
+++ b/internal/core/configuration/document.go
@@ -54,6 +54,9 @@
 	PlannedStops []PlannedStop `json:"plannedStops,omitempty" validate:"dive"`
 	// EvacuatedDomains lists the failure domains whose backend servers get no calls.
 	EvacuatedDomains []FailureDomain `json:"evacuatedDomains,omitempty" validate:"dive,name"`
+	// Spillover is how calls leave their failure domains. Default: each call is placed by
+	// itself.
+	Spillover *Spillover `json:"spillover,omitempty"`
 }
 
 // Service is the configuration of one service.
--- a/internal/core/configuration/schema_test.go
+++ b/internal/core/configuration/schema_test.go
@@ -36,6 +36,8 @@
 		"workspace":   {schema.Defs["workspace"], reflect.TypeFor[Workspace]()},
 		"plannedStop": {schema.Defs["plannedStop"], reflect.TypeFor[PlannedStop]()},
 		"route":       {schema.Defs["route"], reflect.TypeFor[Route]()},
+		"spillover":   {schema.Defs["spillover"], reflect.TypeFor[Spillover]()},
+		"link":        {schema.Defs["link"], reflect.TypeFor[Link]()},
 		"limits":      {schema.Defs["limits"], reflect.TypeFor[Limits]()},
 	} {
 		var fields []string
