--- a/internal/core/dispatch/spillover.go
+++ b/internal/core/dispatch/spillover.go
@@ -220,53 +220,89 @@
 	}
 }
 
+// division is the state of dividing the demand of all domains. Its slices are by domain, in
+// order of name, and its matrices by source and target.
+type division struct {
+	loads []DomainLoad
+	// home is the demand that stays in its domain, load what the domain's servers get.
+	home, load []float64
+	// beginCost is what a call must gain for a flow to begin, cost for it to go on; infinite
+	// where there may be none.
+	beginCost, cost [][]float64
+	flows           [][]float64
+}
+
 // divide returns the flows, in units of demand, after which no call gains more by leaving
 // its domain than the way costs.
 func (s *Spillover) divide(now time.Time, loads []DomainLoad, mean MeanCall) map[Flow]float64 {
-	loads = slices.SortedFunc(slices.Values(loads), func(a, b DomainLoad) int { return cmp.Compare(a.Domain, b.Domain) })
+	d := s.newDivision(now, loads, mean)
 	total := 0.0
-	home, load := make([]float64, len(loads)), make([]float64, len(loads))
-	for i := range loads {
-		home[i], load[i] = loads[i].Demand, loads[i].Demand
-		total += loads[i].Demand
+	for _, load := range d.loads {
+		total += load.Demand
 	}
-	flows := make(map[Flow]float64)
 	for range flowSteps {
-		from, to := s.bestFlow(now, loads, home, load, flows, mean)
+		from, to := d.bestFlow()
 		if from == to {
 			break
 		}
-		step := min(total/flowSteps, home[from])
-		home[from] -= step
-		load[from] -= step
-		load[to] += step
-		flows[Flow{From: loads[from].Domain, To: loads[to].Domain}] += step
+		step := min(total/flowSteps, d.home[from])
+		d.home[from] -= step
+		d.load[from] -= step
+		d.load[to] += step
+		d.flows[from][to] += step
+	}
+	flows := make(map[Flow]float64)
+	for i := range d.loads {
+		for j := range d.loads {
+			if d.flows[i][j] > 0 {
+				flows[Flow{From: d.loads[i].Domain, To: d.loads[j].Domain}] = d.flows[i][j]
+			}
+		}
 	}
 	return flows
 }
 
+func (s *Spillover) newDivision(now time.Time, loads []DomainLoad, mean MeanCall) *division {
+	d := &division{
+		loads: slices.SortedFunc(slices.Values(loads), func(a, b DomainLoad) int { return cmp.Compare(a.Domain, b.Domain) }),
+	}
+	for i, source := range d.loads {
+		d.home, d.load = append(d.home, source.Demand), append(d.load, source.Demand)
+		d.flows = append(d.flows, make([]float64, len(loads)))
+		d.beginCost, d.cost = append(d.beginCost, make([]float64, len(loads))), append(d.cost, make([]float64, len(loads)))
+		for j, target := range d.loads {
+			flow := Flow{From: source.Domain, To: target.Domain}
+			d.cost[i][j] = s.cost(source, target, mean)
+			if target.Capacity <= 0 || now.Before(s.pauses[flow].until) {
+				d.cost[i][j] = math.Inf(1)
+			}
+			d.beginCost[i][j] = d.cost[i][j]
+			if s.parts[flow] == 0 {
+				d.beginCost[i][j] += startMargin
+			}
+		}
+	}
+	return d
+}
+
 // bestFlow returns the domains between which one more call gains most; the same one twice
 // if none gains.
-func (s *Spillover) bestFlow(
-	now time.Time, loads []DomainLoad, home, load []float64, flows map[Flow]float64, mean MeanCall,
-) (from, to int) {
+func (d *division) bestFlow() (from, to int) {
+	losses := make([]float64, len(d.loads))
+	for i := range d.loads {
+		losses[i] = marginalLoss(d.load[i], d.loads[i].Capacity)
+	}
 	best := 0.0
-	for i, source := range loads {
-		if home[i] <= 0 {
+	for i := range d.loads {
+		if d.home[i] <= 0 {
 			continue
 		}
-		loss := marginalLoss(load[i], source.Capacity)
-		for j, target := range loads {
-			flow := Flow{From: source.Domain, To: target.Domain}
-			isReverse := flows[Flow{From: target.Domain, To: source.Domain}] > 0
-			if i == j || isReverse || target.Capacity <= 0 || now.Before(s.pauses[flow].until) {
-				continue
-			}
-			gain := loss - marginalLoss(load[j], target.Capacity) - s.cost(source, target, mean)
-			if s.parts[flow] == 0 && flows[flow] == 0 {
-				gain -= startMargin
+		for j := range d.loads {
+			cost := d.beginCost[i][j]
+			if d.flows[i][j] > 0 {
+				cost = d.cost[i][j]
 			}
-			if gain > best {
+			if gain := losses[i] - losses[j] - cost; i != j && gain > best && d.flows[j][i] == 0 {
 				best, from, to = gain, i, j
 			}
 		}
--- a/internal/core/dispatch/spillover_test.go
+++ b/internal/core/dispatch/spillover_test.go
@@ -261,3 +261,15 @@
 		t.Errorf("%.3f leave whose target is short", got)
 	}
 }
+
+// BenchmarkSpilloverUpdate measures an update for six domains, of which two are overloaded.
+func BenchmarkSpilloverUpdate(b *testing.B) {
+	loads := append(threeDomains(150, 130, 20), threeDomains(20, 20, 20)...)
+	for i := range loads[3:] {
+		loads[3+i].Domain += "2"
+	}
+	s := NewSpillover(configuration.Spillover{})
+	for i := range b.N {
+		s.Update(start.Add(time.Duration(i)*spilloverPeriod), loads, meanCall)
+	}
+}
--- a/internal/core/fieldcheck/decode.go
+++ b/internal/core/fieldcheck/decode.go
@@ -58,6 +58,9 @@
 		return
 	}
 	switch target.Kind() {
+	case reflect.Pointer:
+		target.Set(reflect.New(target.Type().Elem()))
+		d.decodeValue(path, data, target.Elem())
 	case reflect.Struct:
 		d.decodeStruct(path, data, target)
 	case reflect.Map:
--- a/internal/core/fieldcheck/describe.go
+++ b/internal/core/fieldcheck/describe.go
@@ -16,6 +16,8 @@
 		return describer.Form()
 	}
 	switch valueType.Kind() {
+	case reflect.Pointer:
+		return describeForm(valueType.Elem())
 	case reflect.Struct, reflect.Map:
 		if valueType.PkgPath() == "time" {
 			return `a time, such as "2026-01-31T08:00:00Z"`
