SPILLOVER: apply the flows to calls

Daemons report what their callers ask of each service, aggregators the sums of their domains; each daemon divides the demand of all domains four times a second. A call that leaves pays the delay alone, the others the whole way, in place of the two constants. The flows are counted, logged and in the status. Without the section of the configuration nothing is reported and links cost what they did. Not measured on a deployment yet.

--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -219,6 +219,7 @@
 		tokens = w.work.CostTokens()
 		m.shares.RecordGrant(now, w.call.Workspace, tokens)
 	}
+	m.recordLeavingCall(&w.work, choice.Server.VM())
 	book := pool.Book
 	if w.replaces {
 		book = pool.BookReplacement
@@ -265,6 +266,7 @@
 	defer m.mu.Unlock()
 	m.observeVersions(now, isFresh)
 	m.updateLimits(now)
+	m.updateSpillover(now)
 	m.resolveWaiters(now)
 	m.logShares(now)
 }
--- a/internal/app/dispatch/exchange.go
+++ b/internal/app/dispatch/exchange.go
@@ -104,6 +104,7 @@
 		message.Rates = toWorkspaceRates(m.shares.OwnRates(now))
 		message.QuarantineEnds = toServerEnds(now, m.quarantine.QuarantineEnds(now))
 	}
+	message.Demands = m.demands(now, (*core.Pool).OwnDemand)
 	addCauseUpdates(now, message, m.quarantine.TakeDomainUpdates())
 	message.ServerLimits = toLimitReports(now, m.notices.TakeDomainLimits())
 	return message
@@ -118,6 +119,7 @@
 		Rates:          toWorkspaceRates(m.shares.DomainRates(now)),
 		QuarantineEnds: toServerEnds(now, m.quarantine.QuarantineEnds(now)),
 	}
+	message.Demands = m.demands(now, (*core.Pool).DomainDemand)
 	addCauseUpdates(now, message, m.quarantine.TakeCrossDomainUpdates())
 	message.ServerLimits = toLimitReports(now, m.notices.TakeCrossDomainLimits())
 	message.SetServerList(digest)
@@ -217,6 +219,7 @@
 	}
 	reports.Record(now, message.Sequence, loads)
 	m.recordPeerRates(now, source, message.Rates)
+	m.recordDemands(now, source, message.Demands)
 	m.mergeCauses(now, message, source.Domain == "")
 	m.mergeLimits(now, message, source.Domain == "")
 	for _, prefix := range message.CachedPrefixes {
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -65,6 +65,8 @@
 	leavingCounter        *metrics.CounterVec
 	pushbackCounter       *metrics.CounterVec
 	limitCounter          *metrics.CounterVec
+	spilloverCounter      *metrics.CounterVec
+	leavingCallCounter    *metrics.CounterVec
 	quarantineCounter     *metrics.CounterVec
 	callQuarantineCounter *metrics.CounterVec
 	directory             ports.Directory
@@ -93,15 +95,16 @@
 	notices          *core.Notices
 	limitSharing     *core.LimitSharing
 	// capacity is what the engines can do now, in tokens per second; zero for unknown.
-	capacity          float64
-	shares            *core.ShareTracker
-	quarantine        *quarantine.Table
-	waiters           []*waiter
-	waitersResolvedAt time.Time
-	peerReports       map[core.Source]*core.PeerReports
-	peersMergedAt     time.Time
-	sharesLoggedAt    time.Time
-	exchange          exchangeState
+	capacity           float64
+	shares             *core.ShareTracker
+	quarantine         *quarantine.Table
+	waiters            []*waiter
+	waitersResolvedAt  time.Time
+	peerReports        map[core.Source]*core.PeerReports
+	peersMergedAt      time.Time
+	sharesLoggedAt     time.Time
+	spilloverUpdatedAt time.Time
+	exchange           exchangeState
 }
 
 // NewManager returns a manager and registers its message handlers. The manager
@@ -116,6 +119,8 @@
 		leavingCounter:        metrics.NewCounterVec(scope, "servers_leaving", "service"),
 		pushbackCounter:       metrics.NewCounterVec(scope, "server_pushbacks", "service"),
 		limitCounter:          metrics.NewCounterVec(scope, "server_limit_changes", "service", "change"),
+		spilloverCounter:      metrics.NewCounterVec(scope, "spillover_changes", "service", "from", "to", "reason"),
+		leavingCallCounter:    metrics.NewCounterVec(scope, "spillover_calls", "service", "from", "to", "reason"),
 		quarantineCounter:     metrics.NewCounterVec(scope, "prompt_parts_quarantined", "source"),
 		callQuarantineCounter: metrics.NewCounterVec(scope, "calls_quarantined", "source"),
 		directory:             p.Directory,
@@ -247,6 +252,8 @@
 	now := time.Now()
 	m.shares.SetRegionShares(m.regionShares())
 	m.updateLimits(now)
+	m.configureSpillover()
+	m.updateSpillover(now)
 	m.observeVersions(now, isFresh)
 	m.resolveWaiters(now)
 }
--- a/internal/app/dispatch/status.go
+++ b/internal/app/dispatch/status.go
@@ -13,7 +13,7 @@
 	defer m.mu.Unlock()
 	var statuses []ports.ServiceStatus
 	for _, name := range slices.Sorted(maps.Keys(m.pools)) {
-		status := ports.ServiceStatus{Service: name, Queued: make(map[ports.WorkspaceID]int)}
+		status := ports.ServiceStatus{Service: name, Flows: m.pools[name].Flows(), Queued: make(map[ports.WorkspaceID]int)}
 		for _, w := range m.waiters {
 			if w.call.Service == name {
 				status.Queued[w.call.Workspace]++
--- a/internal/core/dispatch/load.go
+++ b/internal/core/dispatch/load.go
@@ -8,6 +8,10 @@
 
 // Work describes what one call requires of a backend server.
 type Work struct {
+	// CallID is the call's ID, the same for all its tries, and BodyBytes the size of its
+	// body.
+	CallID    ports.RequestID
+	BodyBytes int
 	// ForEngine reports whether the call is for a model engine.
 	ForEngine bool
 	Class     ports.ClassName
@@ -35,14 +39,16 @@
 
 	// regions are those in which the call may run.
 	regions Regions
-	// isLongPrompt is set by the pool.
+	// isLongPrompt and destination are set by the pool. The destination is the failure
+	// domain in which the call should run; empty without spillover.
 	isLongPrompt bool
+	destination  ports.FailureDomain
 }
 
 // WorkOf returns the work of a call.
 func WorkOf(call *ports.Call) Work {
 	work := Work{
-		Class: call.Class, FirstTokenWithin: call.FirstTokenBy.Sub(call.Arrived), PauseWithin: call.PauseWithin,
+		CallID: call.ID, BodyBytes: len(call.Body), Class: call.Class, FirstTokenWithin: call.FirstTokenBy.Sub(call.Arrived), PauseWithin: call.PauseWithin,
 		FailedServers: call.FailedServers, Resumes: call.LastEventID > 0 && len(call.FailedServers) > 0,
 		SoftwareVersion: call.SoftwareVersion, regions: AllowedRegions(call.Regions),
 	}
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -52,6 +52,8 @@
 	// time given to the last caller that was refused because of them.
 	daemons    int
 	nextReturn time.Time
+	// spillover is nil where each call is placed by itself.
+	spillover *poolSpillover
 	// preferredBuffer is reused by preferredServers.
 	preferredBuffer []*Server
 }
@@ -180,6 +182,9 @@
 func (p *Pool) ChooseForArrival(now time.Time, work *Work, terms AdmissionTerms) (Choice, bool) {
 	p.observe(work)
 	p.observeLongPrompt(work)
+	if p.spillover != nil {
+		p.spillover.observeDemand(now, work)
+	}
 	best, cheapest := p.choose(now, work, terms)
 	if cheapest.Server != nil && terms.Overuse <= 1 && !terms.AlwaysAdmit {
 		p.updateQueueAllowance(cheapest)
@@ -221,6 +226,7 @@
 func (p *Pool) choose(now time.Time, work *Work, terms AdmissionTerms) (best, cheapest Choice) {
 	lowestFailureRate := p.lowestFailureRate(now)
 	work.isLongPrompt = p.isLongPrompt(work)
+	p.setDestination(now, work)
 	preferred := p.preferredServers(work)
 	terms.queueAllowance, terms.queueLimit = p.queueAllowance, p.queueLimit(work)
 	for _, server := range p.servers {
@@ -244,7 +250,7 @@
 	now time.Time, work *Work, server *Server, preferredServers *preferredServers, terms *AdmissionTerms,
 	lowestFailureRate float64,
 ) Choice {
-	choice := Choice{Server: server, tokensToRead: work.UniqueTokens, totalCost: server.linkCost()}
+	choice := Choice{Server: server, tokensToRead: work.UniqueTokens, totalCost: p.linkCost(server, work)}
 	if preferredServers.prefix != 0 {
 		choice.CacheHolder = p.prefixes.cacheHolder(now, preferredServers.prefix, server, work.regions)
 		switch {
--- a/internal/ctl/fleet.go
+++ b/internal/ctl/fleet.go
@@ -48,6 +48,9 @@
 		c.printf("%s: %s (%s) ready %t, revision %d, daemons believed live %d\n", answer.Server,
 			status.VM.Name, status.VM.Domain, status.Ready, status.Revision, len(status.Daemons))
 		for _, service := range status.Services {
+			for _, to := range slices.Sorted(maps.Keys(service.Flows)) {
+				c.printf("  %s: %.2f of the calls run in %s\n", service.Service, service.Flows[to], to)
+			}
 			mergeService(services, service)
 		}
 	}
--- a/internal/ports/dispatch_messages.go
+++ b/internal/ports/dispatch_messages.go
@@ -35,6 +35,17 @@
 	// ServerLimits are the limits of backend servers that the sender has learned of, or
 	// that were confirmed to it, since its last message to the receiver.
 	ServerLimits []ServerLimitReport `cbor:"13,keyasint,omitempty"`
+	// Demands are what the callers of the sender, or of its whole failure domain, ask of
+	// each service. They are present only where the configuration has spillover.
+	Demands []ServiceDemand `cbor:"20,keyasint,omitempty"`
+}
+
+// ServiceDemand reports what callers ask of a service per second: tokens of an engine, or
+// calls of a plain service.
+type ServiceDemand struct {
+	_         struct{} `cbor:",toarray"`
+	Service   ServiceName
+	PerSecond float32
 }
 
 // ServerLimitReport reports the requests per second that a backend server takes from all
--- a/internal/ports/status.go
+++ b/internal/ports/status.go
@@ -18,6 +18,9 @@
 	Queued map[WorkspaceID]int `json:"queued"`
 	// Running counts the calls of this daemon that hold a slot.
 	Running int `json:"running"`
+	// Flows are the parts of the calls of this daemon's failure domain that run in other
+	// domains; none without spillover.
+	Flows map[FailureDomain]float64 `json:"flows,omitempty"`
 	// Owned are the shards whose slots this daemon grants.
 	Owned []ShardStatus `json:"owned"`
 	// Levels are the levels (service counters) of the backlogged workspaces: cost
