--- a/internal/core/dispatch/regionshares.go
+++ b/internal/core/dispatch/regionshares.go
@@ -82,7 +82,9 @@
 		for workspace, rates := range set {
 			rates.Demand = min(rates.Demand, rate*target(workspace))
 			limited[workspace] = rates
-			s.regionalRates[workspace] = rate
+			if rate > 0 {
+				s.regionalRates[workspace] = rate
+			}
 		}
 	}
 	return limited
--- a/internal/core/dispatch/regionshares_test.go
+++ b/internal/core/dispatch/regionshares_test.go
@@ -56,6 +56,20 @@
 	}
 }
 
+// The regions of a workspace have no engines. Its calls are refused elsewhere; what it asks
+// for takes nothing from others.
+func TestRegionWithoutEnginesTakesNoShare(t *testing.T) {
+	tracker := newRegionalTracker()
+	tracker.SetRegionShares(map[ports.WorkspaceID]RegionShare{
+		"bound-much": {Regions: "lost"}, "bound-little": {Regions: "lost"},
+	})
+	for workspace, most := range map[ports.WorkspaceID]float64{"bound-much": 1, "free-much": 1, "free-little": 1} {
+		if got := tracker.Overuse(start, workspace, 100_000, equalTargets); math.IsNaN(got) || got > most {
+			t.Errorf("%s: overuse %.2f", workspace, got)
+		}
+	}
+}
+
 func TestRegionShareIsPartOfEngines(t *testing.T) {
 	pools := []*Pool{newEnginePool(2, 64)}
 	if share, isBound := RegionShareOf(nil, pools); isBound {
--- a/internal/core/dispatch/spillover_test.go
+++ b/internal/core/dispatch/spillover_test.go
@@ -72,7 +72,7 @@
 			}
 		}
 	}
-	if now = run(s, now, threeDomains(40, 40, 40), spilloverPeriod); len(s.Parts()) > 0 {
+	if run(s, now, threeDomains(40, 40, 40), spilloverPeriod); len(s.Parts()) > 0 {
 		t.Errorf("flows after the last wave: %v", s.Parts())
 	}
 }
