--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -223,6 +223,7 @@
 		tokens = w.work.CostTokens()
 		m.shares.RecordGrant(now, w.call.Workspace, tokens)
 	}
+	m.recordLeavingCall(&w.work, choice.Server.VM())
 	book := pool.Book
 	if w.replaces {
 		book = pool.BookReplacement
@@ -271,6 +272,7 @@
 	m.setListFresh(now, isFresh)
 	m.updateEvacuations(now)
 	m.updateLimits(now)
+	m.updateSpillover(now)
 	m.resolveWaiters(now)
 	m.logShares(now)
 }
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -73,6 +73,8 @@
 	pushbackCounter       *metrics.CounterVec
 	limitCounter          *metrics.CounterVec
 	warmthCounter         *metrics.CounterVec
+	spilloverCounter      *metrics.CounterVec
+	leavingCallCounter    *metrics.CounterVec
 	quarantineCounter     *metrics.CounterVec
 	callQuarantineCounter *metrics.CounterVec
 	directory             ports.Directory
@@ -107,15 +109,16 @@
 	notices          *core.Notices
 	limitSharing     *core.LimitSharing
 	// capacity is what the engines can do now, in tokens per second; zero for unknown.
-	capacity          float64
-	shares            *core.ShareTracker
-	quarantine        *quarantine.Table
-	waiters           []*waiter
-	waitersResolvedAt time.Time
-	peerReports       map[core.Source]*core.PeerReports
-	peersMergedAt     time.Time
-	sharesLoggedAt    time.Time
-	exchange          exchangeState
+	capacity           float64
+	shares             *core.ShareTracker
+	quarantine         *quarantine.Table
+	waiters            []*waiter
+	waitersResolvedAt  time.Time
+	peerReports        map[core.Source]*core.PeerReports
+	peersMergedAt      time.Time
+	sharesLoggedAt     time.Time
+	spilloverUpdatedAt time.Time
+	exchange           exchangeState
 }
 
 // NewManager returns a manager and registers its message handlers. The manager
@@ -131,6 +134,8 @@
 		pushbackCounter:       metrics.NewCounterVec(scope, "server_pushbacks", "service"),
 		limitCounter:          metrics.NewCounterVec(scope, "server_limit_changes", "service", "change"),
 		warmthCounter:         metrics.NewCounterVec(scope, "server_warmth_changes", "service", "state", "reason"),
+		spilloverCounter:      metrics.NewCounterVec(scope, "spillover_changes", "service", "from", "to", "reason"),
+		leavingCallCounter:    metrics.NewCounterVec(scope, "spillover_calls", "service", "from", "to", "reason"),
 		quarantineCounter:     metrics.NewCounterVec(scope, "prompt_parts_quarantined", "source"),
 		callQuarantineCounter: metrics.NewCounterVec(scope, "calls_quarantined", "source"),
 		directory:             p.Directory,
@@ -269,7 +274,10 @@
 	now := time.Now()
 	m.setListFresh(now, isFresh)
 	m.updateEvacuations(now)
+	m.shares.SetRegionShares(m.regionShares())
 	m.updateLimits(now)
+	m.configureSpillover()
+	m.updateSpillover(now)
 	m.observeVersions(now, isFresh)
 	m.resolveWaiters(now)
 }
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -62,6 +62,8 @@
 	listFreshness listFreshness
 	// isListed is true once a list with servers was set.
 	isListed bool
+	// spillover is nil where each call is placed by itself.
+	spillover *poolSpillover
 	// preferredBuffer is reused by preferredServers.
 	preferredBuffer []*Server
 }
@@ -192,6 +194,9 @@
 func (p *Pool) ChooseForArrival(now time.Time, work *Work, terms AdmissionTerms) (Choice, bool) {
 	p.observe(work)
 	p.observeLongPrompt(work)
+	if p.spillover != nil {
+		p.spillover.observeDemand(now, work)
+	}
 	best, cheapest := p.choose(now, work, terms)
 	if cheapest.Server != nil && terms.Overuse <= 1 && !terms.AlwaysAdmit {
 		p.updateQueueAllowance(cheapest)
@@ -233,6 +238,7 @@
 func (p *Pool) choose(now time.Time, work *Work, terms AdmissionTerms) (best, cheapest Choice) {
 	lowestFailureRate := p.lowestFailureRate(now)
 	work.isLongPrompt = p.isLongPrompt(work)
+	p.setDestination(now, work)
 	preferred := p.preferredServers(work)
 	terms.queueAllowance, terms.queueLimit = p.queueAllowance, p.queueLimit(work)
 	for _, server := range p.servers {
@@ -256,7 +262,7 @@
 	now time.Time, work *Work, server *Server, preferredServers *preferredServers, terms *AdmissionTerms,
 	lowestFailureRate float64,
 ) Choice {
-	choice := Choice{Server: server, tokensToRead: work.UniqueTokens, totalCost: server.linkCost()}
+	choice := Choice{Server: server, tokensToRead: work.UniqueTokens, totalCost: p.linkCost(server, work)}
 	if preferredServers.prefix != 0 {
 		choice.CacheHolder = p.prefixes.cacheHolder(now, preferredServers.prefix, server, work.regions)
 		switch {
--- a/internal/ports/dispatch_messages.go
+++ b/internal/ports/dispatch_messages.go
@@ -42,6 +42,17 @@
 	// Handover is the sender's offer to serve connections for its peers. It is absent
 	// if the sender takes none over.
 	Handover *HandoverOffer `cbor:"16,keyasint,omitempty"`
+	// Demands are what the callers of the sender, or of its whole failure domain, ask of
+	// each service. They are present only where the configuration has spillover.
+	Demands []ServiceDemand `cbor:"20,keyasint,omitempty"`
+}
+
+// ServiceDemand reports what callers ask of a service per second: tokens of an engine, or
+// calls of a plain service.
+type ServiceDemand struct {
+	_         struct{} `cbor:",toarray"`
+	Service   ServiceName
+	PerSecond float32
 }
 
 // ServerLimitReport reports the requests per second that a backend server takes from all
--- a/internal/ports/status.go
+++ b/internal/ports/status.go
@@ -20,6 +20,9 @@
 	Running int `json:"running"`
 	// Cold counts the backend servers that this daemon takes to be cold.
 	Cold int `json:"cold,omitempty"`
+	// Flows are the parts of the calls of this daemon's failure domain that run in other
+	// domains; none without spillover.
+	Flows map[FailureDomain]float64 `json:"flows,omitempty"`
 	// Owned are the shards whose slots this daemon grants.
 	Owned []ShardStatus `json:"owned"`
 	// Levels are the levels (service counters) of the backlogged workspaces: cost
