--- a/internal/app/dispatch/relay_test.go
+++ b/internal/app/dispatch/relay_test.go
@@ -29,9 +29,11 @@
 // ports that the exchange uses.
 type exchangeNode struct {
 	*fakeEnvironment
-	fleet    *exchangeFleet
-	self     ports.VM
-	handlers map[ports.MessageKind]func(ports.DaemonID, ports.Message)
+	fleet *exchangeFleet
+	self  ports.VM
+	// evacuations is nil unless the test sets it before the manager is created.
+	evacuations ports.EvacuationFeed
+	handlers    map[ports.MessageKind]func(ports.DaemonID, ports.Message)
 }
 
 func (n *exchangeNode) Self() ports.VM      { return n.self }
@@ -89,6 +91,7 @@
 	return NewManager(Params{
 		Logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, Scope: tally.NoopScope,
 		Directory: exchangeDirectory{node}, Transport: node, Configuration: fakeConfigurationSource{node.fakeEnvironment},
+		Evacuations: node.evacuations,
 	})
 }
 
