--- a/internal/core/dispatch/regions_test.go
+++ b/internal/core/dispatch/regions_test.go
@@ -147,8 +147,8 @@
 // and those of the others are not told to wait.
 func TestLimitsOfOneRegionCountThereOnly(t *testing.T) {
 	pool := newEnginePool(1, 64)
-	pool.findServer("e2-0").allowance = &allowance{limit: 2}
-	pool.findServer("e3-0").allowance = &allowance{limit: 50}
+	pool.findServer("e2-0").allowance = &allowance{bound: RateBound{Rate: 2}}
+	pool.findServer("e3-0").allowance = &allowance{bound: RateBound{Rate: 50}}
 	bound := map[ports.Region]*Work{}
 	for _, region := range []ports.Region{"r1", "r2"} {
 		bound[region] = longPromptWork("a")
