SPILLOVER: terms in the settings for a configuration without them

Platforms whose operators' configuration has no such section can ask for it in the daemon's settings. Without both, calls are placed as before.

--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -81,6 +81,7 @@
 	transport             ports.PeerTransport
 	configuration         ports.ConfigurationSource
 	warmUp                settings.WarmUp
+	defaultSpillover      *configuration.Spillover
 	handover              ports.HandoverOffers
 	lists                 *listExchange
 	evacuations           *evacuationExchange
@@ -142,6 +143,7 @@
 		transport:             p.Transport,
 		configuration:         p.Configuration,
 		warmUp:                warmUpSettings(p.Settings),
+		defaultSpillover:      spilloverSettings(p.Settings),
 		handover:              p.Handover,
 		lists:                 newListExchange(p.List),
 		evacuations:           newEvacuationExchange(p.Evacuations),
--- a/internal/app/dispatch/spillover.go
+++ b/internal/app/dispatch/spillover.go
@@ -5,8 +5,10 @@
 	"slices"
 	"time"
 
+	"hawthornstream/internal/core/configuration"
 	core "hawthornstream/internal/core/dispatch"
 	"hawthornstream/internal/ports"
+	"hawthornstream/internal/settings"
 )
 
 const (
@@ -23,17 +25,34 @@
 	leftByItself = "cheaper"
 )
 
+// spilloverTerms returns the section of the configuration or, if it has none, of the
+// settings; nil where each call is placed by itself. The caller holds the mutex.
+func (m *Manager) spilloverTerms() *configuration.Spillover {
+	if m.document.Spillover != nil {
+		return m.document.Spillover
+	}
+	return m.defaultSpillover
+}
+
+// spilloverSettings returns the section of the settings; s may be nil.
+func spilloverSettings(s *settings.Settings) *configuration.Spillover {
+	if s == nil {
+		return nil
+	}
+	return s.Platform.Spillover
+}
+
 // configureSpillover applies the configuration to the pools. The caller holds the mutex.
 func (m *Manager) configureSpillover() {
 	for _, pool := range m.pools {
-		pool.SetSpillover(m.document.Spillover)
+		pool.SetSpillover(m.spilloverTerms())
 	}
 }
 
 // updateSpillover adjusts the flows between failure domains to the demand and the servers
 // that are known now. The caller holds the mutex.
 func (m *Manager) updateSpillover(now time.Time) {
-	if m.document.Spillover == nil || now.Sub(m.spilloverUpdatedAt) < spilloverInterval {
+	if m.spilloverTerms() == nil || now.Sub(m.spilloverUpdatedAt) < spilloverInterval {
 		return
 	}
 	m.spilloverUpdatedAt = now
@@ -60,7 +79,7 @@
 // recordLeavingCall counts a call that runs in another failure domain.
 func (m *Manager) recordLeavingCall(work *core.Work, server ports.VM) {
 	home := m.directory.Self().Domain
-	if m.document.Spillover == nil || server.Domain == home {
+	if m.spilloverTerms() == nil || server.Domain == home {
 		return
 	}
 	reason := leftByItself
@@ -74,7 +93,7 @@
 // with zeros, since a domain that reports nothing counts as cut off. It returns nil without
 // spillover. The caller holds the mutex.
 func (m *Manager) demands(now time.Time, demandOf func(*core.Pool, time.Time) float64) []ports.ServiceDemand {
-	if m.document.Spillover == nil {
+	if m.spilloverTerms() == nil {
 		return nil
 	}
 	var demands []ports.ServiceDemand
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -97,6 +97,9 @@
 	// an operator evacuates in the store get no more calls. Default: no evacuations are
 	// read; 2s to 1m. Used by the interface "objects".
 	EvacuateWithin configuration.Duration `json:"evacuateWithin,omitempty" validate:"omitempty,between=2s 1m"`
+	// Spillover takes the place of the section of the same name where the configuration has
+	// none. Default: none.
+	Spillover *configuration.Spillover `json:"spillover,omitempty"`
 }
 
 // Operators holds the operators' access keys.
