Review, case 2: after the end of all processes no stream is taken up again

Cause: origins of streams and the history of software versions are kept in the daemons' memory alone. After the end of all processes a resumption is refused until the list has shown one version for 15 s, longer than the deadline of the streams, in a fleet of one version too.

--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -134,6 +134,9 @@
 	return nil
 }
 
+// contact is the time without disruption after which a machine is in touch.
+const contact = 4 * time.Second
+
 var zoneNames = []string{"hcm-a", "hanoi-a", "danang-a"}
 
 const host = "orders.example"
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -50,6 +51,8 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	kept   bool
+	// stream is the body of the answer that begin has opened.
+	stream io.Reader
 }
 
 func dial(address string) (*consumer, error) {
@@ -66,16 +69,7 @@
 func (c *consumer) do(r request) answer {
 	a := answer{ID: r.ID, SentAt: time.Now(), Kept: c.kept}
 	c.conn.SetDeadline(a.SentAt.Add(r.Deadline))
-	var head bytes.Buffer
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n", r.Method, r.Target, host, r.ID, r.Deadline.Milliseconds())
-	if r.Key != "" {
-		fmt.Fprintf(&head, "Api-Key: %s\r\n", r.Key)
-	}
-	for name, value := range r.Extra {
-		fmt.Fprintf(&head, "%s: %s\r\n", name, value)
-	}
-	fmt.Fprintf(&head, "Content-Length: %d\r\n\r\n", len(r.Body))
-	err := c.send(head.Bytes(), r)
+	err := c.send(head(r), r)
 	if err == nil {
 		a.WholeAt = time.Now()
 	}
@@ -100,6 +94,20 @@
 	return a
 }
 
+// head returns the request line and header of a request.
+func head(r request) []byte {
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n", r.Method, r.Target, host, r.ID, r.Deadline.Milliseconds())
+	if r.Key != "" {
+		fmt.Fprintf(&text, "Api-Key: %s\r\n", r.Key)
+	}
+	for name, value := range r.Extra {
+		fmt.Fprintf(&text, "%s: %s\r\n", name, value)
+	}
+	fmt.Fprintf(&text, "Content-Length: %d\r\n\r\n", len(r.Body))
+	return text.Bytes()
+}
+
 func (c *consumer) send(head []byte, r request) error {
 	if _, err := c.conn.Write(head); err != nil {
 		return err
@@ -146,3 +154,43 @@
 	defer a.mu.Unlock()
 	a.all = append(a.all, one)
 }
+
+// begin sends one request and reads the header of its answer, and the body of a refusal.
+func (c *consumer) begin(r request) answer {
+	a := answer{ID: r.ID, SentAt: time.Now()}
+	c.conn.SetDeadline(a.SentAt.Add(r.Deadline))
+	if err := c.send(head(r), r); err != nil {
+		a.Error = err.Error()
+		return a
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	if err != nil {
+		a.Error = err.Error()
+		return a
+	}
+	a.Status, a.Seal = response.StatusCode, response.Header.Get("Response-Seal")
+	if a.Status != http.StatusOK {
+		data, _ := io.ReadAll(response.Body)
+		a.Body = string(data)
+		return a
+	}
+	c.stream = response.Body
+	return a
+}
+
+// events reads the stream that begin has opened. It returns the id of the last whole event
+// and whether the stream ended as complete.
+func (c *consumer) events(last int) (int, bool) {
+	lines := bufio.NewScanner(c.stream)
+	id := 0
+	for lines.Scan() {
+		text := lines.Text()
+		if value, ok := strings.CutPrefix(text, "id: "); ok {
+			id, _ = strconv.Atoi(value)
+		}
+		if text == "" && id > 0 {
+			last = id
+		}
+	}
+	return last, lines.Err() == nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,10 +22,10 @@
 const maxTime = 115 * time.Second
 
 var cases = map[string]func(b *bed, trouble bool) (broken string, err error){
-	"names":  namesCase,
 	"memory": memoryCase,
 	"stop":   stopCase,
 	"path":   pathCase,
+	"resume": resumeCase,
 }
 
 func main() {
