A stopping daemon takes no calls through its peers

Callers saw a request on a kept connection to a stopping daemon passed on 3.7 s after SIGTERM and cut in the middle of its answer when the stop's time was over (LOST).

Cause: the connection had been handed over. The daemon that relays it refuses calls in its own HTTP server only; the peer that serves it doesn't stop and took calls until the connection was old or idle. The relay was then cut with the calls of the last seconds. In the same class, a connection for which a peer was being asked when the stop began was handed over after it.

Change: the stopping daemon tells the peers which connections it relays to them, once at the announcement, once when it refuses calls, and every 200 ms as messages may be lost. Peers ask such callers to close after the announcement, and refuse further calls ("not run") once the relay does. A peer that is found during a stop isn't used. The addresses of the connections identify them, so that the bytes of a connection stay as they are and daemons of both releases work together during an update. Counter callers_taken_over_connections_stopping, events relays-stopping and relay-stops.

--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -126,7 +126,7 @@
 		refusal.RetryAfter = notReadyRetryAfter
 		return nil, refusal
 	}
-	if refusal := s.stoppingRefusal(); refusal != nil {
+	if refusal := s.stoppingRefusal(r.Context()); refusal != nil {
 		return nil, refusal
 	}
 	in.ReadBody = func() ([]byte, *outcome.Refusal) { return s.readBody(w, r) }
--- a/internal/adapters/callerhttp/handover.go
+++ b/internal/adapters/callerhttp/handover.go
@@ -20,6 +20,7 @@
 	"hawthornstream/internal/adapters/tlsfiles"
 	"hawthornstream/internal/core/fieldcheck"
 	"hawthornstream/internal/core/overload"
+	"hawthornstream/internal/ports"
 	"hawthornstream/internal/settings"
 )
 
@@ -60,12 +61,20 @@
 	address string
 	table   *HandoverTable
 	// listener accepts the connections that other daemons hand over.
-	listener   *takeOverListener
-	httpServer *http.Server
+	listener       *takeOverListener
+	httpServer     *http.Server
+	takenOverConns *takenOverConns
 	// returned accepts the connections that no peer took over.
-	returned   *returnedListener
-	relays     sync.WaitGroup
-	openRelays atomic.Int64
+	returned     *returnedListener
+	relays       sync.WaitGroup
+	openRelays   atomic.Int64
+	relaysByPeer *openRelays
+	stopOnce     sync.Once
+	stoppedOnce  sync.Once
+	// stopped is closed when stop has returned. callsRefused is signalled when this daemon
+	// begins to refuse calls.
+	stopped      chan struct{}
+	callsRefused chan struct{}
 	// inProgress is the number of connections for which peers are being asked.
 	inProgress atomic.Int64
 	relayGauge tally.Gauge
@@ -79,8 +88,10 @@
 	outcomes     *metrics.CounterVec
 	refused      *metrics.CounterVec
 	takenOver    tally.Counter
-	logLimiter   *logging.Limiter
-	logger       *log.Logger
+	// relayStops counts the connections taken over whose relaying daemon stops.
+	relayStops *metrics.CounterVec
+	logLimiter *logging.Limiter
+	logger     *log.Logger
 }
 
 // newHandover returns the hand-over of a server, or nil if the settings or the platform
@@ -97,11 +108,21 @@
 		outcomes:   metrics.NewCounterVec(scope, "connections_handed_over", "outcome"),
 		refused:    metrics.NewCounterVec(scope, "take_overs_refused", "reason"),
 		takenOver:  scope.Counter("connections_taken_over"),
+		relayStops: metrics.NewCounterVec(scope, "taken_over_connections_stopping", "relay"),
 		logLimiter: server.logLimiter, logger: server.logger,
+		takenOverConns: newTakenOverConns(), relaysByPeer: newOpenRelays(),
+		stopped: make(chan struct{}), callsRefused: make(chan struct{}, 1),
 	}
 	h.httpServer = server.newHTTPServer(takenOverIdleTimeout, func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(server.connections.connContext(ctx, conn), takenOverKey{}, time.Now())
+		return context.WithValue(server.connections.connContext(ctx, conn), takenOverKey{}, h.takenOverConns.add(conn))
 	})
+	h.httpServer.ConnState = func(conn net.Conn, state http.ConnState) {
+		h.takenOverConns.connState(conn, state)
+		server.connections.connState(conn, state)
+	}
+	table.transport.Handle(ports.KindRelayStop,
+		func() ports.Message { return &ports.RelayStop{} },
+		func(from ports.DaemonID, message ports.Message) { h.handleRelayStop(from, message.(*ports.RelayStop)) })
 	return h
 }
 
@@ -194,7 +215,11 @@
 // relay asks peers to take the connection over, relays it, and returns it to this
 // daemon's server if none does.
 func (h *handover) relay(caller *net.TCPConn, peer handoverPeer) {
-	conn := h.findPeer(peer)
+	conn, peer := h.findPeer(peer)
+	if conn != nil && h.server.stopAnnounced.Load() {
+		closeWithReset(conn)
+		conn = nil
+	}
 	switch {
 	case conn == nil && h.server.shedder.shouldCloseUnread():
 		closeWithReset(caller)
@@ -204,14 +229,15 @@
 		closeWithReset(conn)
 		closeWithReset(caller)
 	default:
+		defer h.relaysByPeer.add(peer.daemon, conn)()
 		relay := relay{caller: caller, peer: conn, gather: h.shouldGather}
 		relay.run()
 	}
 }
 
-// findPeer returns a connection to a peer that takes the caller's over, or nil. It asks
-// the given peer first.
-func (h *handover) findPeer(peer handoverPeer) *net.TCPConn {
+// findPeer returns a connection to a peer that takes the caller's over, and that peer, or
+// nil. It asks the given peer first.
+func (h *handover) findPeer(peer handoverPeer) (*net.TCPConn, handoverPeer) {
 	h.inProgress.Add(1)
 	defer h.inProgress.Add(-1)
 	for try := 1; ; try++ {
@@ -220,12 +246,12 @@
 		h.logHandedOver(peer, outcome)
 		if conn != nil {
 			h.handedOver.Add(1)
-			return conn
+			return conn, peer
 		}
 		h.table.withdraw(peer)
 		var found bool
 		if peer, found = h.table.choose(); !found || try == maxHandoverTries {
-			return nil
+			return nil, peer
 		}
 	}
 }
@@ -299,7 +325,7 @@
 // have ended, or the context is done. It then closes their connections and returns an
 // error.
 func (h *handover) stop(ctx context.Context) error {
-	h.table.announceStop()
+	defer h.endStop()
 	err := h.httpServer.Shutdown(ctx)
 	done := make(chan struct{})
 	go func() {
--- a/internal/adapters/callerhttp/handover_test.go
+++ b/internal/adapters/callerhttp/handover_test.go
@@ -22,6 +22,7 @@
 // handoverDaemon is a server that hands connections over and takes them over.
 type handoverDaemon struct {
 	*Server
+	transport      *linkedTransport
 	callersAddress string
 	scope          tally.TestScope
 }
@@ -45,7 +46,8 @@
 	}
 	scope := tally.NewTestScope("", nil)
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	server := New(s, fixedConfiguration{revision: revision}, executor, DefaultDialect(), NewHandoverTable(s), scope, logger)
+	transport := &linkedTransport{}
+	server := New(s, fixedConfiguration{revision: revision}, executor, DefaultDialect(), NewHandoverTable(s, transport), scope, logger)
 	if err := server.handover.run(s.Listen, nil, server.serve); err != nil {
 		t.Fatal(err)
 	}
@@ -59,7 +61,7 @@
 		defer cancel()
 		_ = server.Stop(ctx)
 	})
-	return &handoverDaemon{Server: server, callersAddress: inner.Addr().String(), scope: scope}
+	return &handoverDaemon{Server: server, transport: transport, callersAddress: inner.Addr().String(), scope: scope}
 }
 
 // makeLate makes the daemon hand over all new connections.
@@ -72,6 +74,7 @@
 
 // offerTo makes the daemon's offer known to another one.
 func (d *handoverDaemon) offerTo(other *handoverDaemon) {
+	other.transport.link("peer", d.transport)
 	other.handover.table.SetPeerOffer("peer", d.handover.table.OwnOffer())
 }
 
--- a/internal/adapters/callerhttp/handovertable.go
+++ b/internal/adapters/callerhttp/handovertable.go
@@ -19,7 +19,8 @@
 // for each other, and decides which connections this daemon hands over. It implements
 // ports.HandoverOffers and ports.HandoverView and is safe for concurrent use.
 type HandoverTable struct {
-	domain ports.FailureDomain
+	domain    ports.FailureDomain
+	transport ports.PeerTransport
 
 	// mu guards everything below.
 	mu sync.Mutex
@@ -36,16 +37,18 @@
 	address string
 }
 
-// NewHandoverTable returns a table without offers.
-func NewHandoverTable(s *settings.Settings) *HandoverTable {
+// NewHandoverTable returns a table without offers, for daemons that reach each other by the
+// transport.
+func NewHandoverTable(s *settings.Settings, transport ports.PeerTransport) *HandoverTable {
 	cores := s.Limits.Processors
 	if cores <= 0 {
 		cores = float64(runtime.GOMAXPROCS(0))
 	}
 	return &HandoverTable{
-		domain:   s.VM.FailureDomain,
-		decision: overload.NewHandover[handoverPeer](cores, s.Limits.MaxProcessorWait.Value()),
-		peers:    make(map[ports.DaemonID]handoverPeer),
+		domain:    s.VM.FailureDomain,
+		transport: transport,
+		decision:  overload.NewHandover[handoverPeer](cores, s.Limits.MaxProcessorWait.Value()),
+		peers:     make(map[ports.DaemonID]handoverPeer),
 	}
 }
 
--- /dev/null
+++ b/internal/adapters/callerhttp/relaystop.go
@@ -0,0 +1,182 @@
+package callerhttp
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hawthornstream/internal/core/overload"
+	"hawthornstream/internal/ports"
+)
+
+// relayStopInterval is the time between two messages to a peer about the stop of this
+// daemon: a message may be lost, and a connection may have been handed over just before.
+const relayStopInterval = 200 * time.Millisecond
+
+// takenOverConn is a connection that this daemon serves for another one.
+type takenOverConn struct {
+	takenOverAt time.Time
+	// relay is an overload.RelayState.
+	relay atomic.Uint32
+}
+
+// relayState returns what the relaying daemon has said of its stop.
+func (c *takenOverConn) relayState() overload.RelayState {
+	return overload.RelayState(c.relay.Load())
+}
+
+// advance records a state of the relaying daemon and reports whether it is news.
+func (c *takenOverConn) advance(state overload.RelayState) bool {
+	for {
+		known := c.relay.Load()
+		if overload.RelayState(known) >= state {
+			return false
+		}
+		if c.relay.CompareAndSwap(known, uint32(state)) {
+			return true
+		}
+	}
+}
+
+// takenOverConns are the connections that this daemon serves for others, by the remote
+// address. It is safe for concurrent use.
+type takenOverConns struct {
+	mu    sync.Mutex
+	conns map[string]*takenOverConn
+}
+
+func newTakenOverConns() *takenOverConns {
+	return &takenOverConns{conns: make(map[string]*takenOverConn)}
+}
+
+// add returns the record of a connection that was taken over now.
+func (t *takenOverConns) add(conn net.Conn) *takenOverConn {
+	added := &takenOverConn{takenOverAt: time.Now()}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conns[conn.RemoteAddr().String()] = added
+	return added
+}
+
+// connState removes connections that have ended. It is called by the HTTP server.
+func (t *takenOverConns) connState(conn net.Conn, state http.ConnState) {
+	if state != http.StateClosed && state != http.StateHijacked {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, conn.RemoteAddr().String())
+}
+
+// recordStop records the stop of the daemon that relays the connections with the
+// addresses, and returns for how many of them it is news.
+func (t *takenOverConns) recordStop(addresses []string, state overload.RelayState) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	news := 0
+	for _, address := range addresses {
+		if conn, ok := t.conns[address]; ok && conn.advance(state) {
+			news++
+		}
+	}
+	return news
+}
+
+// openRelays are the connections that this daemon relays, by the daemon that serves them
+// and this daemon's address toward it. It is safe for concurrent use.
+type openRelays struct {
+	mu     sync.Mutex
+	byPeer map[ports.DaemonID]map[string]bool
+}
+
+func newOpenRelays() *openRelays {
+	return &openRelays{byPeer: make(map[ports.DaemonID]map[string]bool)}
+}
+
+// add records a relayed connection until the returned function is called.
+func (r *openRelays) add(peer ports.DaemonID, conn net.Conn) (remove func()) {
+	address := conn.LocalAddr().String()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byPeer[peer] == nil {
+		r.byPeer[peer] = make(map[string]bool)
+	}
+	r.byPeer[peer][address] = true
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.byPeer[peer], address)
+		if len(r.byPeer[peer]) == 0 {
+			delete(r.byPeer, peer)
+		}
+	}
+}
+
+// addresses returns the addresses of the relayed connections by peer.
+func (r *openRelays) addresses() map[ports.DaemonID][]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	byPeer := make(map[ports.DaemonID][]string, len(r.byPeer))
+	for peer, addresses := range r.byPeer {
+		for address := range addresses {
+			byPeer[peer] = append(byPeer[peer], address)
+		}
+	}
+	return byPeer
+}
+
+// announceStop ends handing over, and tells the daemons that serve connections for this
+// one until stop has returned. Only the first call has an effect.
+func (h *handover) announceStop() {
+	h.stopOnce.Do(func() {
+		h.table.announceStop()
+		h.logger.Info().Str("event", "relays-stopping").Int64("open", h.openRelays.Load()).Msg("")
+		go h.tellPeersOfStop()
+	})
+}
+
+// endStop ends the messages of announceStop. It may be called more than once.
+func (h *handover) endStop() {
+	h.stoppedOnce.Do(func() { close(h.stopped) })
+}
+
+func (h *handover) tellPeersOfStop() {
+	ticker := time.NewTicker(relayStopInterval)
+	defer ticker.Stop()
+	for {
+		refusesCalls := h.server.refusingCalls.Load()
+		for peer, addresses := range h.relaysByPeer.addresses() {
+			h.table.transport.Send(peer, &ports.RelayStop{Connections: addresses, RefusesCalls: refusesCalls})
+		}
+		select {
+		case <-h.stopped:
+			return
+		case <-h.callsRefused:
+		case <-ticker.C:
+		}
+	}
+}
+
+// announceRefusal lets peers know at once that this daemon refuses further calls.
+func (h *handover) announceRefusal() {
+	select {
+	case h.callsRefused <- struct{}{}:
+	default:
+	}
+}
+
+// handleRelayStop records the stop of a daemon that relays connections to this one.
+func (h *handover) handleRelayStop(from ports.DaemonID, message *ports.RelayStop) {
+	state := overload.RelayStateOf(message.RefusesCalls)
+	news := h.takenOverConns.recordStop(message.Connections, state)
+	if news == 0 {
+		return
+	}
+	h.relayStops.Add(int64(news), state.String())
+	if h.logLimiter.Allow("relay-stops", string(from)) {
+		h.logger.Info().Str("event", "relay-stops").Str("peer", string(from)).Int("connections", news).
+			Bool("refusesCalls", message.RefusesCalls).Msg("")
+	}
+}
--- /dev/null
+++ b/internal/adapters/callerhttp/relaystop_test.go
@@ -0,0 +1,135 @@
+package callerhttp
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"hawthornstream/internal/ports"
+)
+
+// linkedTransport is a fake of the transport between daemons, which delivers at once.
+type linkedTransport struct {
+	ports.PeerTransport
+
+	mu       sync.Mutex
+	peers    map[ports.DaemonID]*linkedTransport
+	handlers map[ports.MessageKind]func(ports.DaemonID, ports.Message)
+	// lost is the number of further messages that are lost.
+	lost int
+}
+
+func (l *linkedTransport) Handle(
+	kind ports.MessageKind, _ func() ports.Message, handler func(ports.DaemonID, ports.Message),
+) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.handlers = map[ports.MessageKind]func(ports.DaemonID, ports.Message){kind: handler}
+}
+
+func (l *linkedTransport) Send(to ports.DaemonID, message ports.Message) {
+	l.mu.Lock()
+	peer := l.peers[to]
+	isLost := l.lost > 0
+	l.lost--
+	l.mu.Unlock()
+	if peer != nil && !isLost {
+		peer.handlers[message.Kind()]("sender", message)
+	}
+}
+
+func (l *linkedTransport) link(name ports.DaemonID, peer *linkedTransport) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peers = map[ports.DaemonID]*linkedTransport{name: peer}
+}
+
+// keptConnection is a caller's connection that stays open for several requests.
+type keptConnection struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (d *handoverDaemon) dial(t *testing.T) *keptConnection {
+	t.Helper()
+	conn, err := net.Dial("tcp", d.callersAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return &keptConnection{t: t, conn: conn, reader: bufio.NewReader(conn)}
+}
+
+// exchange sends a request and returns its answer with the body read.
+func (c *keptConnection) exchange() *http.Response {
+	c.t.Helper()
+	request := newRequest(c.t, http.MethodPost, "http://callers/services/registry/x", "body")
+	if err := request.Write(c.conn); err != nil {
+		c.t.Fatal(err)
+	}
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		c.t.Fatal(err)
+	}
+	return response
+}
+
+// A stopping daemon asks its callers to close their connections, and then refuses calls,
+// also on connections that it relays to a peer, which doesn't stop. Messages to the peer
+// may be lost.
+func TestPeerDoesNotTakeCallsThatRelayWouldCut(t *testing.T) {
+	for _, lost := range []int{0, 1} {
+		late, idle := startHandoverDaemon(t, answerWith("late")), startHandoverDaemon(t, answerWith("idle"))
+		idle.offerTo(late)
+		late.makeLate()
+		closing, refusing := late.dial(t), late.dial(t)
+		for _, conn := range []*keptConnection{closing, refusing} {
+			if response := conn.exchange(); response.StatusCode != http.StatusOK || response.Close {
+				t.Fatalf("status %d, closes %v before the stop", response.StatusCode, response.Close)
+			}
+		}
+		late.transport.lost = lost
+		late.AnnounceStop()
+		idle.waitForRelayStops(t, "closing", 2)
+		if response := closing.exchange(); response.StatusCode != http.StatusOK || !response.Close {
+			t.Errorf("status %d, closes %v after the announcement", response.StatusCode, response.Close)
+		}
+		late.transport.lost = lost
+		late.RefuseCalls()
+		idle.waitForRelayStops(t, "refusing", 1)
+		if response := refusing.exchange(); response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+			t.Errorf("status %d, closes %v once calls are refused", response.StatusCode, response.Close)
+		}
+	}
+}
+
+// A peer was being asked for a connection when the stop began.
+func TestStoppingDaemonHandsNoMoreConnectionsOver(t *testing.T) {
+	late, idle := startHandoverDaemon(t, answerWith("late")), startHandoverDaemon(t, answerWith("idle"))
+	idle.offerTo(late)
+	late.makeLate()
+	late.stopAnnounced.Store(true)
+	late.mustAnswer(t, "late")
+}
+
+// waitForRelayStops waits until the daemon knows of so many connections that their relay
+// is in the state.
+func (d *handoverDaemon) waitForRelayStops(t *testing.T, state string, want int64) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		for _, counter := range d.scope.Snapshot().Counters() {
+			if counter.Name() == "callers.taken_over_connections_stopping" && counter.Tags()["relay"] == state && counter.Value() >= want {
+				return
+			}
+		}
+	}
+	t.Fatalf("fewer than %d connections are %s", want, state)
+}
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -194,13 +194,16 @@
 func (s *Server) AnnounceStop() {
 	s.stopAnnounced.Store(true)
 	if s.handover != nil {
-		s.handover.table.announceStop()
+		s.handover.announceStop()
 	}
 }
 
 // RefuseCalls makes the server refuse each further call with a time to retry after.
 func (s *Server) RefuseCalls() {
 	s.refusingCalls.Store(true)
+	if s.handover != nil {
+		s.handover.announceRefusal()
+	}
 }
 
 // NotReadyReason returns why the load balancer should route no new connections to
@@ -217,11 +220,11 @@
 	return s.connections.open.Load() > 0
 }
 
-// stoppingRefusal returns a refusal once further calls are refused, and nil
-// before. Such a call arrives over a connection that the stop has not closed yet,
-// and might not end in time.
-func (s *Server) stoppingRefusal() *outcome.Refusal {
-	if !s.refusingCalls.Load() {
+// stoppingRefusal returns a refusal once this daemon, or the one that relays the
+// connection to it, refuses further calls, and nil before. Such a call arrives over a
+// connection that the stop has not closed yet, and might not end in time.
+func (s *Server) stoppingRefusal(ctx context.Context) *outcome.Refusal {
+	if !s.refusingCalls.Load() && !isRelayRefusingCalls(ctx) {
 		return nil
 	}
 	refusal := notRunRefusal(outcome.ReasonStopping, "the daemon is stopping")
@@ -233,7 +236,8 @@
 // or the context is done. It then logs the calls still in progress, closes their
 // connections and returns an error.
 func (s *Server) Stop(ctx context.Context) error {
-	s.refusingCalls.Store(true)
+	s.AnnounceStop()
+	s.RefuseCalls()
 	defer s.stopOnce.Do(func() { close(s.shedder.stop) })
 	s.closeListener()
 	s.drainConnections(ctx)
--- a/internal/adapters/callerhttp/takeover.go
+++ b/internal/adapters/callerhttp/takeover.go
@@ -5,19 +5,16 @@
 	"net"
 	"sync"
 	"time"
-)
 
-const (
-	// takenOverIdleTimeout is how long a connection that was taken over stays open
-	// without a request, and takenOverLifetime the age from which it is closed after its
-	// next answer, so that the daemon that relays it soon gets rid of it, at the latest
-	// within its own announcement of a stop.
-	takenOverIdleTimeout = time.Second
-	takenOverLifetime    = 1500 * time.Millisecond
+	"hawthornstream/internal/core/overload"
 )
 
-// takenOverKey is the key, in a connection's context, of the time at which the
-// connection was taken over from another daemon.
+// takenOverIdleTimeout is how long a connection that was taken over stays open without a
+// request, so that the daemon that relays it soon gets rid of it.
+const takenOverIdleTimeout = time.Second
+
+// takenOverKey is the key, in a connection's context, of the *takenOverConn of a
+// connection that was taken over from another daemon.
 type takenOverKey struct{}
 
 // takeOverListener accepts the connections that other daemons hand over. It confirms
@@ -64,8 +61,15 @@
 // isTakenOver reports whether the request came over a connection that another daemon
 // handed over, and whether that is to be closed after the answer.
 func isTakenOver(ctx context.Context) (takenOver, shouldClose bool) {
-	at, takenOver := ctx.Value(takenOverKey{}).(time.Time)
-	return takenOver, takenOver && time.Since(at) >= takenOverLifetime
+	conn, takenOver := ctx.Value(takenOverKey{}).(*takenOverConn)
+	return takenOver, takenOver && overload.ShouldCloseTakenOver(time.Since(conn.takenOverAt), conn.relayState())
+}
+
+// isRelayRefusingCalls reports whether the request came over a connection of which the
+// relaying daemon refuses further calls.
+func isRelayRefusingCalls(ctx context.Context) bool {
+	conn, takenOver := ctx.Value(takenOverKey{}).(*takenOverConn)
+	return takenOver && overload.ShouldRefuseTakenOver(conn.relayState())
 }
 
 // returnedListener passes connections that no peer took over to this daemon's server.
--- a/internal/adapters/metrics/counters.go
+++ b/internal/adapters/metrics/counters.go
@@ -29,10 +29,16 @@
 // Inc increments the counter with the tag values, which are in the order of the
 // tags given to NewCounterVec.
 func (v *CounterVec) Inc(tagValues ...string) {
+	v.Add(1, tagValues...)
+}
+
+// Add adds delta to the counter with the tag values, which are in the order of the tags
+// given to NewCounterVec.
+func (v *CounterVec) Add(delta int64, tagValues ...string) {
 	var key [maxTags]string
 	copy(key[:], tagValues)
 	if found, ok := v.counters.Load(key); ok {
-		found.(tally.Counter).Inc(1)
+		found.(tally.Counter).Inc(delta)
 		return
 	}
 	tags := make(map[string]string, len(v.tags))
@@ -41,5 +47,5 @@
 	}
 	counter := v.scope.Tagged(tags).Counter(v.name)
 	v.counters.Store(key, counter)
-	counter.Inc(1)
+	counter.Inc(delta)
 }
--- /dev/null
+++ b/internal/core/overload/takeover.go
@@ -0,0 +1,56 @@
+package overload
+
+import "time"
+
+// takenOverLifetime is the age from which a connection that was taken over is closed
+// after its next answer, so that the daemon that relays it soon gets rid of it.
+const takenOverLifetime = 1500 * time.Millisecond
+
+// RelayState is what a daemon that relays a connection to this one has said of its stop.
+// The states only advance.
+type RelayState uint32
+
+// Values of RelayState.
+const (
+	// RelayOpen means that the relaying daemon doesn't stop.
+	RelayOpen RelayState = iota
+	// RelayClosing means that it asks its callers to close their connections.
+	RelayClosing
+	// RelayRefusing means that it refuses further calls: they might not end before it does.
+	RelayRefusing
+)
+
+// String returns the name of the state.
+func (s RelayState) String() string {
+	switch s {
+	case RelayOpen:
+		return "open"
+	case RelayClosing:
+		return "closing"
+	default:
+		return "refusing"
+	}
+}
+
+// RelayStateOf returns the state that a daemon tells with its stop.
+func RelayStateOf(refusesCalls bool) RelayState {
+	if refusesCalls {
+		return RelayRefusing
+	}
+	return RelayClosing
+}
+
+// ShouldCloseTakenOver reports whether a connection that was taken over is to be closed
+// after its next answer.
+func ShouldCloseTakenOver(age time.Duration, relay RelayState) bool {
+	return age >= takenOverLifetime || relay >= RelayClosing
+}
+
+// ShouldRefuseTakenOver reports whether a further call on a connection that was taken
+// over is to be refused.
+//
+// Load pattern: a late daemon is stopped, and callers keep the connections that it relays
+// in use. The daemon that serves them doesn't stop, but loses them with the relay.
+func ShouldRefuseTakenOver(relay RelayState) bool {
+	return relay >= RelayRefusing
+}
--- a/internal/ports/handover.go
+++ b/internal/ports/handover.go
@@ -21,6 +21,19 @@
 	SetPeerOffer(from DaemonID, offer *HandoverOffer)
 }
 
+// RelayStop tells a daemon that the sender, which relays callers' connections to it, stops.
+// It is sent repeatedly while such connections are open.
+type RelayStop struct {
+	// Connections are the sender's ends of the relayed connections, each as "ip:port".
+	Connections []string `cbor:"1,keyasint"`
+	// RefusesCalls is true once the sender refuses further calls of its callers; before,
+	// it only asks them to close their connections.
+	RefusesCalls bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Kind implements Message.
+func (*RelayStop) Kind() MessageKind { return KindRelayStop }
+
 // HandoverStatus is the state of handing callers' connections over.
 type HandoverStatus struct {
 	// Address is where this daemon takes connections over.
--- a/internal/ports/peer.go
+++ b/internal/ports/peer.go
@@ -27,6 +27,7 @@
 	KindStreamOriginAnswer  MessageKind = 42
 	KindEvacuationPull      MessageKind = 50
 	KindEvacuationPush      MessageKind = 51
+	KindRelayStop           MessageKind = 60
 )
 
 // Message is one typed message between daemons. Its fields are encoded as CBOR
