Daemons that start together follow changes from the start

Cause: a daemon read the list of servers and the configuration once and watched neither in its first 5 s, because others would: it doesn't know the fleet yet, and in a large fleet each watch counts. When all start at once, nobody watches.

Change: core/membership.WatchPolicy decides for the list, the evacuations and the configuration. Daemons that rank first among those that they know watch from the start; who knows only a part of the fleet ranks itself too high, so that no watcher is missing. A watch goes on from the version that was read, so that the wait only delays a change. Daemons of a large fleet that have heard of no watcher yet wait for the reports for 2.5 s instead of 5 s.

Two tests that asked for the faulty wait are replaced: TestListIsReadOnceDuringStartup now wants the watch from the discovery period on and none before, and TestFewDaemonsWatchEvacuations wants the first daemon, and no other, to watch from the start.

--- a/internal/app/dispatch/evacuations.go
+++ b/internal/app/dispatch/evacuations.go
@@ -6,12 +6,13 @@
 	"time"
 
 	core "hawthornstream/internal/core/dispatch"
+	"hawthornstream/internal/core/membership"
 	"hawthornstream/internal/ports"
 )
 
 const (
-	// evacuationStartupPeriod is how long after the start the other daemons may be
-	// unknown. The list is read once in this time and watched after it.
+	// evacuationStartupPeriod is how long after its start a daemon without a list reads it
+	// itself, whoever watches.
 	evacuationStartupPeriod = 2 * time.Second
 	// evacuationWatchersPerDomain is the number of daemons of a failure domain that watch
 	// the evacuations at the platform, and evacuationWatchersAlone the number where the
@@ -38,7 +39,8 @@
 
 func newEvacuationExchange(feed ports.EvacuationFeed) *evacuationExchange {
 	return &evacuationExchange{feed: feed, watchExchange: watchExchange{
-		startedAt: time.Now(), startupPeriod: evacuationStartupPeriod, watchersPerDomain: evacuationWatchersPerDomain,
+		startedAt: time.Now(), startupPeriod: evacuationStartupPeriod,
+		policy:               membership.WatchPolicy{PerDomain: evacuationWatchersPerDomain},
 		substitutesPerDomain: evacuationSubstitutes,
 	}}
 }
--- a/internal/app/dispatch/lists.go
+++ b/internal/app/dispatch/lists.go
@@ -6,6 +6,7 @@
 	"time"
 
 	core "hawthornstream/internal/core/dispatch"
+	"hawthornstream/internal/core/membership"
 	"hawthornstream/internal/ports"
 )
 
@@ -19,8 +20,8 @@
 	// watcherReportLifetime is how long another daemon's report that it watches
 	// the list counts. Without one, this daemon watches the list itself.
 	watcherReportLifetime = 2500 * time.Millisecond
-	// startupPeriod is how long the other daemons may be unknown after the
-	// start.
+	// startupPeriod is how long after its start a daemon without a list reads it itself,
+	// whoever watches.
 	startupPeriod = 5 * time.Second
 	// minPullInterval is the least time between two requests for a list.
 	minPullInterval = 300 * time.Millisecond
@@ -36,7 +37,7 @@
 func newListExchange(feed ports.ServerListFeed) *listExchange {
 	return &listExchange{feed: feed, watchExchange: watchExchange{
 		startedAt: time.Now(), startupPeriod: startupPeriod,
-		maxDaemonsAllWatching: maxDaemonsAllWatching, watchersPerDomain: watchersPerDomain,
+		policy:               membership.WatchPolicy{MaxAllWatching: maxDaemonsAllWatching, PerDomain: watchersPerDomain},
 		substitutesPerDomain: math.MaxInt,
 	}}
 }
@@ -45,13 +46,12 @@
 // pull it from one that has a newer one. No other lock is taken while its mutex is held.
 type watchExchange struct {
 	startedAt time.Time
-	// startupPeriod is how long the other daemons may be unknown after startedAt.
+	// startupPeriod is how long after startedAt a daemon without a list reads it itself.
 	startupPeriod time.Duration
-	// maxDaemonsAllWatching is the largest fleet in which each daemon watches, and
-	// watchersPerDomain the number of daemons of a failure domain that do so in a larger
-	// one. When none of them reports that the platform answers it, the first
-	// substitutesPerDomain watch.
-	maxDaemonsAllWatching, watchersPerDomain, substitutesPerDomain int
+	policy        membership.WatchPolicy
+	// substitutesPerDomain is the number of daemons of a failure domain that watch when
+	// no watcher reports that the platform answers it.
+	substitutesPerDomain int
 
 	mu sync.Mutex
 	// watcherReportedAt is when a daemon last reported that it watches the
@@ -153,19 +153,17 @@
 	return l.watchExchange.shouldWatch(now, l.feed.Digest().StoreVersion(), daemons, rank)
 }
 
-// shouldWatch reports whether to watch the list of the given version. During the startup
-// period the others are not known yet: the list is read once, and later changes are found
-// after it.
+// shouldWatch reports whether to watch the list of the given version.
 func (l *watchExchange) shouldWatch(now time.Time, version ports.StoreVersion, daemons, rank int) bool {
-	if now.Sub(l.startedAt) < l.startupPeriod {
-		return version == ports.StoreVersion{}
+	sinceStart := now.Sub(l.startedAt)
+	isUnread := sinceStart < l.startupPeriod && version == ports.StoreVersion{}
+	if isUnread || l.policy.IsWatcher(sinceStart, daemons, rank) {
+		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if daemons <= l.maxDaemonsAllWatching || rank < l.watchersPerDomain {
-		return true
-	}
-	if now.Sub(l.watcherReportedAt) < watcherReportLifetime {
+	// The reports of daemons that start together take a while to arrive, too.
+	if sinceStart < watcherReportLifetime || now.Sub(l.watcherReportedAt) < watcherReportLifetime {
 		return false
 	}
 	return rank < l.substitutesPerDomain || now.Sub(l.reportedAt) >= watcherReportLifetime
--- a/internal/app/dispatch/lists_test.go
+++ b/internal/app/dispatch/lists_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"hawthornstream/internal/core/membership"
 	"hawthornstream/internal/ports"
 )
 
@@ -49,9 +50,29 @@
 		t.Error("a daemon without a list does not read it")
 	}
 	feed.version = 7
-	if l.shouldWatch(l.startedAt.Add(startupPeriod/2), 1, 0) {
+	if l.shouldWatch(l.startedAt.Add(membership.DiscoveryPeriod-1), 1, 0) {
 		t.Error("a daemon that does not know the others yet watches the list")
 	}
+	if !l.shouldWatch(l.startedAt.Add(membership.DiscoveryPeriod), 1, 0) {
+		t.Error("a daemon that is alone does not watch the list")
+	}
+}
+
+// All daemons of a large fleet start at once, and none has heard of a watcher yet.
+func TestFirstDaemonsWatchTheListFromTheStart(t *testing.T) {
+	l := newListExchange(&fakeListFeed{version: 7})
+	for _, sinceStart := range []time.Duration{0, membership.DiscoveryPeriod, watcherReportLifetime - 1} {
+		at := l.startedAt.Add(sinceStart)
+		if !l.shouldWatch(at, 60, watchersPerDomain-1) {
+			t.Errorf("a first daemon of its failure domain does not watch after %v", sinceStart)
+		}
+		if l.shouldWatch(at, 60, watchersPerDomain) {
+			t.Errorf("a further daemon watches after %v", sinceStart)
+		}
+	}
+	if !l.shouldWatch(l.startedAt.Add(watcherReportLifetime), 60, watchersPerDomain) {
+		t.Error("a daemon that hears of no watcher does not watch")
+	}
 }
 
 func TestNewerListIsPulledAtLimitedRate(t *testing.T) {
@@ -108,7 +129,8 @@
 	check(lost, evacuationSubstitutes, false)
 	check(lost.Add(watcherReportLifetime), 9, true)
 	e.startedAt = now
-	check(now, 0, false)
+	check(now, 0, true)
+	check(now, 1, false)
 	if !e.shouldWatch(now, ports.StoreVersion{}, 1, 0) {
 		t.Error("a daemon that has just started does not read the evacuations")
 	}
--- a/internal/app/liveconfig/platform.go
+++ b/internal/app/liveconfig/platform.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 
 	"hawthornstream/internal/core/configuration"
+	"hawthornstream/internal/core/membership"
 	"hawthornstream/internal/ports"
 )
 
@@ -15,13 +17,9 @@
 	// maxSmallFleet is the largest number of daemons in a fleet whose daemons may
 	// all watch the platform. Every watch counts as a call to the platform.
 	maxSmallFleet = 12
-	// startupPeriod is the time after the start in which the directory may not
-	// yet list the other daemons, so that the fleet seems small. The
-	// configuration is read once in this time.
-	startupPeriod = 5 * time.Second
 	// watcherCheckPeriod is the maximum time until a daemon that does not watch
 	// checks again whether it should.
-	watcherCheckPeriod = time.Second
+	watcherCheckPeriod = 500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay limit the backoff after failed calls to the
 	// platform.
 	minRetryDelay = 100 * time.Millisecond
@@ -95,11 +93,9 @@
 // the newest revision if it has no configuration. Otherwise it makes no call.
 func (m *Manager) fetchUpdate(ctx context.Context, seen ports.StoreVersion) (ports.RevisionUpdate, fetchMethod, error) {
 	self := m.directory.Self()
-	ranked := rankDaemons(m.directory.Daemons(), self.Domain)
+	daemons := m.directory.Daemons()
 	switch {
-	case m.Current() != nil && m.allMayWatch && time.Since(m.startedAt) < startupPeriod:
-		return ports.RevisionUpdate{}, fetchNone, nil
-	case m.allMayWatch && len(m.directory.Daemons()) <= maxSmallFleet || isWatcher(ranked, self.Name):
+	case m.shouldWatch(daemons, rankDaemons(daemons, self.Domain), self.Name):
 		update, err := m.feed.Await(ctx, seen)
 		return update, fetchWatch, err
 	case m.Current() == nil:
@@ -110,6 +106,20 @@
 	}
 }
 
+// shouldWatch reports whether this daemon watches the platform. While it has no
+// configuration in a small fleet, its first watch returns the newest revision at once.
+func (m *Manager) shouldWatch(daemons []ports.VM, ranked []ports.DaemonID, self ports.DaemonID) bool {
+	if !m.allMayWatch {
+		return isWatcher(ranked, self)
+	}
+	if m.Current() == nil && len(daemons) <= maxSmallFleet {
+		return true
+	}
+	policy := membership.WatchPolicy{MaxAllWatching: maxSmallFleet, PerDomain: watchersPerDomain}
+	rank := slices.Index(ranked, self)
+	return rank >= 0 && policy.IsWatcher(time.Since(m.startedAt), len(daemons), rank)
+}
+
 // adoptUpdate adopts a revision from the platform and informs peers of it.
 func (m *Manager) adoptUpdate(update ports.RevisionUpdate) {
 	if update.Revision == nil {
