relays-cut is logged only where relays are cut

Operators read such a line as lost calls. The event is logged, and counts as a failure of the stop, only if relays are open.

--- a/internal/adapters/callerhttp/handover.go
+++ b/internal/adapters/callerhttp/handover.go
@@ -335,8 +335,10 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
-		err = ctx.Err()
-		h.logger.Error().Str("event", "relays-cut").Int64("open", h.openRelays.Load()).Msg("")
+		if open := h.openRelays.Load(); open > 0 {
+			err = ctx.Err()
+			h.logger.Error().Str("event", "relays-cut").Int64("open", open).Msg("")
+		}
 	}
 	if err != nil {
 		_ = h.httpServer.Close()
