A further SIGTERM leaves the stop in progress as it is

Cause: Run took the second signal of any kind as an operator's wish to end at once and cancelled the drain. Supervisors and platforms repeat their SIGTERM, and one after a planned stop counted as the second, too.

Change: core/gracefulstop tells the first request from its repetitions; only SIGINT during a stop cuts it short, as a second interrupt at a terminal is expected to (OPERATIONS.md). Signals are read from the start on, so that the stop of a daemon that is starting is timed from its SIGTERM on and readiness ends with the signal. Counter stop_requests by cause and action, log event stop-requested.

TestRepeatedSignalsLetCallsInProgressComplete sends SIGTERM, SIGHUP, SIGTERM to a process on the own interface.

TestSecondSignalLogsTheCallsItCutsOff demanded the fault: that a second SIGTERM cuts calls off. It is TestInterruptDuringStopLogsTheCallsItCutsOff now, with the same checks of the cut, the log and the exit code after SIGTERM and SIGINT.

--- a/cmd/hawthornstreamd/main.go
+++ b/cmd/hawthornstreamd/main.go
@@ -50,14 +50,14 @@
 // logCloseTimeout bounds the time for writing the last log lines at exit.
 const logCloseTimeout = 200 * time.Millisecond
 
-// signalBuffer is the capacity of a signal channel: the signal that begins a stop
-// and the one that ends it at once.
-const signalBuffer = 2
+// signalBuffer is the capacity of a signal channel: signals that arrive while one is
+// handled.
+const signalBuffer = 16
 
 // signalChannels receive the signals that the process handles.
 type signalChannels struct {
-	// stop receives SIGTERM and interrupts: the first begins a graceful stop, the
-	// second ends it at once.
+	// stop receives SIGTERM and interrupts: the first begins a graceful stop, an
+	// interrupt during the stop ends it at once.
 	stop chan os.Signal
 	// hangup receives SIGHUP, which reloads the settings.
 	hangup chan os.Signal
--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -106,9 +106,11 @@
 )
 
 // Run starts the daemon and serves until a signal or a planned stop, then drains
-// the calls in progress. A second signal ends the drain at once. Run fails when
-// the start or the stop fails, or when calls were cut off.
+// the calls in progress. Further signals change nothing, but an interrupt ends the
+// drain at once. Run fails when the start or the stop fails, or when calls were cut
+// off.
 func (d *Daemon) Run(signals <-chan os.Signal) error {
+	go d.lifecycle.HandleSignals(signals)
 	startCtx, cancelStart := context.WithTimeout(context.Background(), d.container.StartTimeout())
 	defer cancelStart()
 	if err := d.container.Start(startCtx); err != nil {
@@ -116,14 +118,7 @@
 	}
 	d.logger.Info().Str("event", "daemon-started").Msg("")
 
-	drainCtx, cancelDrain := context.WithCancel(context.Background())
-	defer cancelDrain()
-	cause := d.awaitStop(signals)
-	go func() {
-		<-signals
-		cancelDrain()
-	}()
-	drainErr := d.lifecycle.Drain(drainCtx, cause)
+	drainErr := d.lifecycle.Drain(<-d.lifecycle.StopRequested())
 
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), d.container.StopTimeout())
 	defer cancelStop()
@@ -142,15 +137,6 @@
 	}
 }
 
-func (d *Daemon) awaitStop(signals <-chan os.Signal) lifecycle.StopCause {
-	select {
-	case <-signals:
-		return lifecycle.CauseSignal
-	case <-d.lifecycle.StopRequested():
-		return lifecycle.CausePlanned
-	}
-}
-
 // metricsResult holds what the metrics adapter provides to other components.
 type metricsResult struct {
 	fx.Out
@@ -181,9 +167,10 @@
 	configuration ports.ConfigurationSource,
 	callers *callerhttp.Server,
 	peers *cluster.Manager,
+	scope tally.Scope,
 	logger *log.Logger,
 ) *lifecycle.Manager {
-	return lifecycle.NewManager(s, configuration, callers, peers, logger)
+	return lifecycle.NewManager(s, configuration, callers, peers, scope, logger)
 }
 
 func lifecycleReadiness(m *lifecycle.Manager) ports.ReadinessCheck {
--- a/internal/app/lifecycle/manager.go
+++ b/internal/app/lifecycle/manager.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 
 	"hawthornstream/internal/core/configuration"
+	"hawthornstream/internal/core/gracefulstop"
 	"hawthornstream/internal/pause"
 	"hawthornstream/internal/ports"
 	"hawthornstream/internal/settings"
@@ -26,6 +28,12 @@
 	CausePlanned StopCause = "planned-stop"
 )
 
+// Stop is a requested stop.
+type Stop struct {
+	Cause       StopCause
+	RequestedAt time.Time
+}
+
 // exitMargin is the time that the process has to exit between the end of a stop
 // and the platform's kill.
 const exitMargin = 700 * time.Millisecond
@@ -66,17 +74,22 @@
 	configuration ports.ConfigurationSource
 	callers       CallerServer
 	membership    FleetMembership
+	scope         tally.Scope
 	logger        *log.Logger
 	startedAt     time.Time
 
-	draining atomic.Bool
-
-	// mu guards firstRevision and stopTimer.
-	mu              sync.Mutex
-	firstRevision   uint64
-	stopTimer       *time.Timer
-	stopRequested   chan struct{}
-	stopRequestOnce sync.Once
+	stopping atomic.Bool
+	// stopRequested holds the stop, once.
+	stopRequested chan Stop
+	// cutRequested is closed when the stop in progress is to end at once.
+	cutRequested chan struct{}
+
+	// mu guards what follows.
+	mu            sync.Mutex
+	requests      gracefulstop.Requests
+	isCut         bool
+	firstRevision uint64
+	stopTimer     *time.Timer
 }
 
 // NewManager returns a manager that watches the configuration for a planned
@@ -86,6 +99,7 @@
 	configuration ports.ConfigurationSource,
 	callers CallerServer,
 	peers FleetMembership,
+	scope tally.Scope,
 	logger *log.Logger,
 ) *Manager {
 	m := &Manager{
@@ -94,9 +108,11 @@
 		configuration: configuration,
 		callers:       callers,
 		membership:    peers,
+		scope:         scope,
 		logger:        logger,
 		startedAt:     time.Now(),
-		stopRequested: make(chan struct{}),
+		stopRequested: make(chan Stop, 1),
+		cutRequested:  make(chan struct{}),
 	}
 	configuration.OnChange(m.schedulePlannedStop)
 	return m
@@ -111,27 +127,34 @@
 	return limits
 }
 
-// StopRequested is closed once a planned stop of this daemon is due.
-func (m *Manager) StopRequested() <-chan struct{} {
+// StopRequested receives the stop of this daemon once a signal or a plan requests it.
+func (m *Manager) StopRequested() <-chan Stop {
 	return m.stopRequested
 }
 
 // NotReadyReason returns why the daemon should get no new calls, or "".
 func (m *Manager) NotReadyReason() string {
-	if m.draining.Load() {
+	if m.stopping.Load() {
 		return "the daemon is stopping"
 	}
 	return ""
 }
 
 // Drain carries out the stop. It returns nil when every call in progress has
-// ended, and the error of CallerServer.Stop when the context ended or the stop
-// timed out first.
-func (m *Manager) Drain(ctx context.Context, cause StopCause) error {
-	m.draining.Store(true)
-	m.logger.Info().Str("event", "stop-began").Str("cause", string(cause)).Msg("")
-	ctx, cancel := context.WithTimeout(ctx, m.stopSettings.Timeout.Value())
+// ended, and the error of CallerServer.Stop when the stop was cut short or timed
+// out first.
+func (m *Manager) Drain(stop Stop) error {
+	m.stopping.Store(true)
+	m.logger.Info().Str("event", "stop-began").Str("cause", string(stop.Cause)).Msg("")
+	ctx, cancel := context.WithDeadline(context.Background(), stop.RequestedAt.Add(m.stopSettings.Timeout.Value()))
 	defer cancel()
+	go func() {
+		select {
+		case <-m.cutRequested:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 
 	m.callers.AnnounceStop()
 	m.membership.Leave()
@@ -181,9 +204,7 @@
 	if !found {
 		return
 	}
-	m.stopTimer = time.AfterFunc(at.Sub(now), m.requestStop)
-}
-
-func (m *Manager) requestStop() {
-	m.stopRequestOnce.Do(func() { close(m.stopRequested) })
+	m.stopTimer = time.AfterFunc(at.Sub(now), func() {
+		m.requestStop(time.Now(), gracefulstop.RequestStop, CausePlanned)
+	})
 }
--- /dev/null
+++ b/internal/core/gracefulstop/requests.go
@@ -0,0 +1,54 @@
+// Package gracefulstop decides what a further request to stop changes. It is imported by
+// internal/app/lifecycle.
+package gracefulstop
+
+import "time"
+
+// Request is a request to stop.
+type Request uint8
+
+// The kinds of requests.
+const (
+	// RequestStop asks for a graceful stop: SIGTERM, or a planned stop.
+	RequestStop Request = iota
+	// RequestInterrupt asks for a graceful stop, and for its end at once if one is in
+	// progress: SIGINT.
+	RequestInterrupt
+)
+
+// Action is what a request leads to.
+type Action uint8
+
+// The actions.
+const (
+	// ActionBegin begins the stop.
+	ActionBegin Action = iota
+	// ActionNone leaves the stop in progress as it is: supervisors repeat their signals.
+	ActionNone
+	// ActionCut cuts off the calls in progress.
+	ActionCut
+)
+
+// String implements fmt.Stringer.
+func (a Action) String() string {
+	return [...]string{"begin", "none", "cut"}[a]
+}
+
+// Requests tells the first request to stop from its repetitions. The zero value has
+// received none.
+type Requests struct {
+	beganAt time.Time
+}
+
+// Receive returns what a request leads to, and when the stop was first requested.
+func (r *Requests) Receive(now time.Time, request Request) (Action, time.Time) {
+	switch {
+	case r.beganAt.IsZero():
+		r.beganAt = now
+		return ActionBegin, now
+	case request == RequestInterrupt:
+		return ActionCut, r.beganAt
+	default:
+		return ActionNone, r.beganAt
+	}
+}
--- a/testbench/fleet/process.go
+++ b/testbench/fleet/process.go
@@ -100,6 +100,9 @@
 // Terminate requests a planned stop by SIGTERM.
 func (p *Process) Terminate() error { return p.sendSignal(syscall.SIGTERM) }
 
+// Interrupt sends SIGINT, which ends a stop in progress at once.
+func (p *Process) Interrupt() error { return p.sendSignal(syscall.SIGINT) }
+
 // Kill kills the process by SIGKILL.
 func (p *Process) Kill() error { return p.sendSignal(syscall.SIGKILL) }
 
