A short grace period leaves calls five sixths of it

What callers would see: with a grace period under 4.2 s a stop cut calls off before its last sixth, 0.3 s after SIGTERM where the platform kills after 1 s; with one under 3.2 s the announcement was as long as the stop, so that calls were still taken right until they were cut.

Cause: the margin before the platform's kill was 0.7 s, the one for closing connections 0.5 s and the announcement as set, however short the whole was.

Change: core/gracefulstop plans the phases. The margin before the kill is at most a sixth of the grace period, the other at most an eighth of the stop, and calls are taken for at most half of it.

The other tests of Drain give the manager their settings at its construction, since the schedule is made there; their checks are the same.

--- a/internal/app/lifecycle/manager.go
+++ b/internal/app/lifecycle/manager.go
@@ -12,7 +12,6 @@
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
-	"hawthornstream/internal/core/configuration"
 	"hawthornstream/internal/core/gracefulstop"
 	"hawthornstream/internal/pause"
 	"hawthornstream/internal/ports"
@@ -34,18 +33,8 @@
 	RequestedAt time.Time
 }
 
-// exitMargin is the time that the process has to exit between the end of a stop
-// and the platform's kill.
-const exitMargin = 700 * time.Millisecond
-
-const (
-	// serverStopMargin is the time reserved for CallerServer.Stop at the end of a
-	// stop that the platform's kill bounds.
-	serverStopMargin = 500 * time.Millisecond
-	// connectionCheckInterval is the time between two checks for connected
-	// callers.
-	connectionCheckInterval = 50 * time.Millisecond
-)
+// connectionCheckInterval is the time between two checks for connected callers.
+const connectionCheckInterval = 50 * time.Millisecond
 
 // CallerServer is the subset of the callers' server that a stop uses.
 type CallerServer interface {
@@ -70,7 +59,7 @@
 // Manager carries out the graceful stop.
 type Manager struct {
 	self          ports.VMName
-	stopSettings  settings.Stop
+	schedule      gracefulstop.Schedule
 	configuration ports.ConfigurationSource
 	callers       CallerServer
 	membership    FleetMembership
@@ -104,7 +93,7 @@
 ) *Manager {
 	m := &Manager{
 		self:          s.VM.Name,
-		stopSettings:  endBeforeKill(s.Stop),
+		schedule:      scheduleOf(s.Stop),
 		configuration: configuration,
 		callers:       callers,
 		membership:    peers,
@@ -118,13 +107,12 @@
 	return m
 }
 
-// endBeforeKill shortens the timeout of a stop that the platform's kill would
-// otherwise interrupt.
-func endBeforeKill(limits settings.Stop) settings.Stop {
-	if limits.KillAfter > 0 {
-		limits.Timeout = min(limits.Timeout, limits.KillAfter-configuration.Duration(exitMargin))
-	}
-	return limits
+func scheduleOf(stop settings.Stop) gracefulstop.Schedule {
+	return gracefulstop.Plan(gracefulstop.Limits{
+		Timeout:        stop.Timeout.Value(),
+		KillAfter:      stop.KillAfter.Value(),
+		AnnouncePeriod: stop.AnnouncePeriod.Value(),
+	})
 }
 
 // StopRequested receives the stop of this daemon once a signal or a plan requests it.
@@ -145,8 +133,14 @@
 // out first.
 func (m *Manager) Drain(stop Stop) error {
 	m.stopping.Store(true)
-	m.logger.Info().Str("event", "stop-began").Str("cause", string(stop.Cause)).Msg("")
-	ctx, cancel := context.WithDeadline(context.Background(), stop.RequestedAt.Add(m.stopSettings.Timeout.Value()))
+	m.logger.Info().
+		Str("event", "stop-began").
+		Str("cause", string(stop.Cause)).
+		Dur("announceUntil", m.schedule.AnnounceUntil).
+		Dur("refuseUntil", m.schedule.RefuseUntil).
+		Dur("cutAt", m.schedule.CutAt).
+		Msg("")
+	ctx, cancel := context.WithDeadline(context.Background(), stop.RequestedAt.Add(m.schedule.CutAt))
 	defer cancel()
 	go func() {
 		select {
@@ -158,11 +152,8 @@
 
 	m.callers.AnnounceStop()
 	m.membership.Leave()
-	select {
-	case <-time.After(m.stopSettings.AnnouncePeriod.Value()):
-	case <-ctx.Done():
-	}
-	m.refuseUntilDisconnected(ctx)
+	pause.For(ctx, time.Until(stop.RequestedAt.Add(m.schedule.AnnounceUntil)))
+	m.refuseUntilDisconnected(ctx, stop)
 	if err := m.callers.Stop(ctx); err != nil {
 		m.logger.Error().Str("event", "stop-cut-calls").Err(err).Msg("")
 		return err
@@ -175,12 +166,12 @@
 // the time before the platform's kill runs out. Closing a connection while a
 // request is in transit would leave the caller without an answer. Without a kill
 // it does nothing.
-func (m *Manager) refuseUntilDisconnected(ctx context.Context) {
-	if m.stopSettings.KillAfter == 0 {
+func (m *Manager) refuseUntilDisconnected(ctx context.Context, stop Stop) {
+	if m.schedule.RefuseUntil == 0 {
 		return
 	}
 	m.callers.RefuseCalls()
-	ctx, cancel := context.WithTimeout(ctx, m.stopSettings.Timeout.Value()-m.stopSettings.AnnouncePeriod.Value()-serverStopMargin)
+	ctx, cancel := context.WithDeadline(ctx, stop.RequestedAt.Add(m.schedule.RefuseUntil))
 	defer cancel()
 	for m.callers.HasConnections() && pause.For(ctx, connectionCheckInterval) {
 	}
--- a/internal/app/lifecycle/manager_test.go
+++ b/internal/app/lifecycle/manager_test.go
@@ -34,6 +34,8 @@
 	callsEnded chan struct{}
 	// connectedChecks is the number of further checks that find callers connected.
 	connectedChecks int
+	// cutAt is the deadline of the server's stop.
+	cutAt time.Time
 }
 
 func (r *stepRecorder) AnnounceStop() { r.steps = append(r.steps, "announce") }
@@ -49,6 +51,7 @@
 
 func (r *stepRecorder) Stop(ctx context.Context) error {
 	r.steps = append(r.steps, "stop")
+	r.cutAt, _ = ctx.Deadline()
 	select {
 	case <-r.callsEnded:
 		return nil
@@ -57,10 +60,12 @@
 	}
 }
 
-func newTestManager(timeout time.Duration) (*Manager, *stepRecorder, *fakeConfigurationSource) {
+const hour = configuration.Duration(time.Hour)
+
+func newTestManager(stop settings.Stop) (*Manager, *stepRecorder, *fakeConfigurationSource) {
 	s := &settings.Settings{
 		VM:   settings.VM{Name: "entry-1"},
-		Stop: settings.Stop{Timeout: configuration.Duration(timeout)},
+		Stop: stop,
 	}
 	r := &stepRecorder{callsEnded: make(chan struct{})}
 	source := &fakeConfigurationSource{}
@@ -69,7 +74,7 @@
 }
 
 func TestDrainLeavesFleetBeforeWaitingForCalls(t *testing.T) {
-	m, r, _ := newTestManager(time.Hour)
+	m, r, _ := newTestManager(settings.Stop{Timeout: hour})
 	close(r.callsEnded)
 	if err := m.Drain(Stop{Cause: CauseSignal, RequestedAt: time.Now()}); err != nil {
 		t.Fatalf("drain: %v", err)
@@ -85,8 +90,7 @@
 // When the platform will kill the process, connected callers are refused before
 // their connections are closed, since a request may be in transit on them.
 func TestDrainRefusesCallsUntilCallersDisconnect(t *testing.T) {
-	m, r, _ := newTestManager(time.Hour)
-	m.stopSettings.KillAfter = configuration.Duration(time.Hour)
+	m, r, _ := newTestManager(settings.Stop{Timeout: hour, KillAfter: hour})
 	r.connectedChecks = 2
 	close(r.callsEnded)
 	if err := m.Drain(Stop{Cause: CauseSignal, RequestedAt: time.Now()}); err != nil {
@@ -101,21 +105,34 @@
 }
 
 func TestDrainStopsRefusingBeforeTimeout(t *testing.T) {
-	m, r, _ := newTestManager(serverStopMargin + 200*time.Millisecond)
-	m.stopSettings.KillAfter = configuration.Duration(time.Hour)
+	const timeout = configuration.Duration(700 * time.Millisecond)
+	m, r, _ := newTestManager(settings.Stop{Timeout: timeout, KillAfter: hour})
 	r.connectedChecks = 1 << 30
 	close(r.callsEnded)
 	start := time.Now()
 	if err := m.Drain(Stop{Cause: CauseSignal, RequestedAt: time.Now()}); err != nil {
 		t.Fatalf("drain: %v", err)
 	}
-	if elapsed := time.Since(start); elapsed > serverStopMargin+200*time.Millisecond {
+	if elapsed := time.Since(start); elapsed > timeout.Value() {
 		t.Errorf("the stop took %v", elapsed)
 	}
 }
 
+// With a grace period under 4.2 s, calls were cut off before its last sixth.
+func TestDrainLeavesCallsFiveSixthsOfShortGracePeriod(t *testing.T) {
+	m, r, _ := newTestManager(settings.Stop{Timeout: hour, KillAfter: configuration.Duration(time.Second)})
+	close(r.callsEnded)
+	stop := Stop{Cause: CauseSignal, RequestedAt: time.Now()}
+	if err := m.Drain(stop); err != nil {
+		t.Fatalf("drain: %v", err)
+	}
+	if left := r.cutAt.Sub(stop.RequestedAt); left < time.Second*5/6 || left >= time.Second {
+		t.Errorf("calls are cut off after %v of 1 s", left)
+	}
+}
+
 func TestDrainFailsAtTimeout(t *testing.T) {
-	m, _, _ := newTestManager(time.Millisecond)
+	m, _, _ := newTestManager(settings.Stop{Timeout: configuration.Duration(time.Millisecond)})
 	err := m.Drain(Stop{Cause: CauseSignal, RequestedAt: time.Now()})
 	if !eris.Is(err, context.DeadlineExceeded) {
 		t.Errorf("drain: %v, want the deadline", err)
@@ -123,7 +140,7 @@
 }
 
 func TestPlannedStopIsScheduledAndCancelled(t *testing.T) {
-	m, _, source := newTestManager(time.Hour)
+	m, _, source := newTestManager(settings.Stop{Timeout: hour})
 	revision := func(number configuration.RevisionNumber, stops ...configuration.PlannedStop) *ports.Configuration {
 		return &ports.Configuration{Number: number, Document: configuration.Document{PlannedStops: stops}}
 	}
--- a/internal/core/gracefulstop/requests.go
+++ b/internal/core/gracefulstop/requests.go
@@ -1,5 +1,3 @@
-// Package gracefulstop decides what a further request to stop changes. It is imported by
-// internal/app/lifecycle.
 package gracefulstop
 
 import "time"
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -176,8 +176,8 @@
 	// Default: 15m; 1s to 24h.
 	Timeout configuration.Duration `json:"within,omitempty" validate:"between=1s 24h"`
 	// KillAfter is the time after the stop signal at which the platform kills the
-	// process; a longer Timeout is shortened to end before it. Default: never; 1s
-	// to 24h.
+	// process; a longer Timeout is shortened to end before it, and AnnouncePeriod to
+	// half of that. Default: never; 1s to 24h.
 	KillAfter configuration.Duration `json:"killedAfter,omitempty" validate:"omitempty,between=1s 24h"`
 	// AnnouncePeriod is the time between reporting not ready and refusing new
 	// connections, in which load balancers stop sending calls. Default: 2s; 0s to
