The request target reaches the server as the caller wrote it

Targets in absolute form had no route and were refused with 404.

Cause: the target is given to net/http as an opaque URL so that it is sent unchanged, but net/url puts the scheme before an opaque part that begins with two slashes. Routes were matched with the whole target up to the query.

Weighed: URL.Path with RawPath, which net/url writes anew when it holds bytes such as "|" or those above 127; refusing such targets. A target in absolute form is passed on as such.

Open: "OPTIONS *" is answered 200 by net/http before the dialect sees it, and the own interface writes paths and empty queries anew (both in callerhttp).

--- a/internal/adapters/backendhttp/conn.go
+++ b/internal/adapters/backendhttp/conn.go
@@ -18,6 +18,9 @@
 	// writeStarted is true if a byte of the current request may have been written.
 	writeStarted   bool
 	writesDisabled bool
+	// requestLine corrects the beginning of the current request; nil if nothing is to be
+	// corrected, or once it was written.
+	requestLine *correctedRequestLine
 
 	closedAsSilent atomic.Bool
 	// countsBytes is true if each received byte is progress of the current request.
@@ -39,10 +42,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeStarted = false
+	c.requestLine = nil
 	c.countsBytes.Store(progress == ProgressByte)
 	c.recordProgress(now)
 }
 
+// correctRequestLine corrects the beginning of the current request, unless it is nil.
+func (c *trackedConn) correctRequestLine(requestLine *correctedRequestLine) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestLine = requestLine
+}
+
 func (c *trackedConn) recordProgress(now time.Time) {
 	c.lastProgress.Store(int64(now.Sub(c.createdAt)))
 }
@@ -59,22 +70,29 @@
 // Write implements net.Conn. After disableWrites, it fails with
 // *writesDisabledError.
 func (c *trackedConn) Write(p []byte) (int, error) {
-	if !c.startWrite(len(p)) {
+	requestLine, started := c.startWrite(len(p))
+	if !started {
 		return 0, &writesDisabledError{}
 	}
+	if requestLine != nil {
+		return requestLine.write(c.Conn, p)
+	}
 	return c.Conn.Write(p)
 }
 
-// startWrite records the start of a write, and reports false if writes are
-// disabled. It runs before the write, which may block after a part of the bytes.
-func (c *trackedConn) startWrite(size int) bool {
+// startWrite records the start of a write and returns what corrects it, or reports
+// false if writes are disabled. It runs before the write, which may block after a part
+// of the bytes.
+func (c *trackedConn) startWrite(size int) (*correctedRequestLine, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.writesDisabled {
-		return false
+		return nil, false
 	}
 	c.writeStarted = c.writeStarted || size > 0
-	return true
+	requestLine := c.requestLine
+	c.requestLine = nil
+	return requestLine, true
 }
 
 // Read implements net.Conn.
--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -18,7 +18,7 @@
 	Method  string
 	// Host is the value of the Host header field; empty for Address.
 	Host string
-	// Target is the path and query, which are sent unchanged.
+	// Target is the request target, which is sent unchanged.
 	Target string
 	Header http.Header
 	Body   []byte
@@ -110,6 +110,7 @@
 		return nil, &ExchangeError{Address: request.Address, Cause: err}
 	}
 	conn.tracked.beginRequest(time.Now(), request.Progress)
+	conn.tracked.correctRequestLine(newCorrectedRequestLine(request))
 	exchange := &Exchange{
 		client: c, conn: conn, watchdog: startSilenceWatchdog(conn.tracked, request),
 		maxIdleConnections: request.MaxIdleConnections, progress: request.Progress,
@@ -143,7 +144,7 @@
 }
 
 // newHTTPRequest converts a request. The target goes into URL.Opaque, so that
-// net/http sends it unchanged.
+// net/http sends it unchanged, except as correctedRequestLine says.
 func newHTTPRequest(ctx context.Context, request *Request) (*http.Request, error) {
 	var body io.Reader
 	if len(request.Body) > 0 {
