--- a/internal/app/lifecycle/manager.go
+++ b/internal/app/lifecycle/manager.go
@@ -10,8 +10,9 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 
-	"hawthornstream/internal/core/configuration"
+	"hawthornstream/internal/core/gracefulstop"
 	"hawthornstream/internal/pause"
 	"hawthornstream/internal/ports"
 	"hawthornstream/internal/settings"
@@ -26,18 +27,14 @@
 	CausePlanned StopCause = "planned-stop"
 )
 
-// exitMargin is the time that the process has to exit between the end of a stop
-// and the platform's kill.
-const exitMargin = 700 * time.Millisecond
+// Stop is a requested stop.
+type Stop struct {
+	Cause       StopCause
+	RequestedAt time.Time
+}
 
-const (
-	// serverStopMargin is the time reserved for CallerServer.Stop at the end of a
-	// stop that the platform's kill bounds.
-	serverStopMargin = 500 * time.Millisecond
-	// connectionCheckInterval is the time between two checks for connected
-	// callers.
-	connectionCheckInterval = 50 * time.Millisecond
-)
+// connectionCheckInterval is the time between two checks for connected callers.
+const connectionCheckInterval = 50 * time.Millisecond
 
 // CallerServer is the subset of the callers' server that a stop uses.
 type CallerServer interface {
@@ -62,21 +59,26 @@
 // Manager carries out the graceful stop.
 type Manager struct {
 	self          ports.VMName
-	stopSettings  settings.Stop
+	schedule      gracefulstop.Schedule
 	configuration ports.ConfigurationSource
 	callers       CallerServer
 	membership    FleetMembership
+	scope         tally.Scope
 	logger        *log.Logger
 	startedAt     time.Time
 
-	draining atomic.Bool
-
-	// mu guards firstRevision and stopTimer.
-	mu              sync.Mutex
-	firstRevision   uint64
-	stopTimer       *time.Timer
-	stopRequested   chan struct{}
-	stopRequestOnce sync.Once
+	stopping atomic.Bool
+	// stopRequested holds the stop, once.
+	stopRequested chan Stop
+	// cutRequested is closed when the stop in progress is to end at once.
+	cutRequested chan struct{}
+
+	// mu guards what follows.
+	mu            sync.Mutex
+	requests      gracefulstop.Requests
+	isCut         bool
+	firstRevision uint64
+	stopTimer     *time.Timer
 }
 
 // NewManager returns a manager that watches the configuration for a planned
@@ -86,60 +88,72 @@
 	configuration ports.ConfigurationSource,
 	callers CallerServer,
 	peers FleetMembership,
+	scope tally.Scope,
 	logger *log.Logger,
 ) *Manager {
 	m := &Manager{
 		self:          s.VM.Name,
-		stopSettings:  endBeforeKill(s.Stop),
+		schedule:      scheduleOf(s.Stop),
 		configuration: configuration,
 		callers:       callers,
 		membership:    peers,
+		scope:         scope,
 		logger:        logger,
 		startedAt:     time.Now(),
-		stopRequested: make(chan struct{}),
+		stopRequested: make(chan Stop, 1),
+		cutRequested:  make(chan struct{}),
 	}
 	configuration.OnChange(m.schedulePlannedStop)
 	return m
 }
 
-// endBeforeKill shortens the timeout of a stop that the platform's kill would
-// otherwise interrupt.
-func endBeforeKill(limits settings.Stop) settings.Stop {
-	if limits.KillAfter > 0 {
-		limits.Timeout = min(limits.Timeout, limits.KillAfter-configuration.Duration(exitMargin))
-	}
-	return limits
+func scheduleOf(stop settings.Stop) gracefulstop.Schedule {
+	return gracefulstop.Plan(gracefulstop.Limits{
+		Timeout:        stop.Timeout.Value(),
+		KillAfter:      stop.KillAfter.Value(),
+		AnnouncePeriod: stop.AnnouncePeriod.Value(),
+	})
 }
 
-// StopRequested is closed once a planned stop of this daemon is due.
-func (m *Manager) StopRequested() <-chan struct{} {
+// StopRequested receives the stop of this daemon once a signal or a plan requests it.
+func (m *Manager) StopRequested() <-chan Stop {
 	return m.stopRequested
 }
 
 // NotReadyReason returns why the daemon should get no new calls, or "".
 func (m *Manager) NotReadyReason() string {
-	if m.draining.Load() {
+	if m.stopping.Load() {
 		return "the daemon is stopping"
 	}
 	return ""
 }
 
 // Drain carries out the stop. It returns nil when every call in progress has
-// ended, and the error of CallerServer.Stop when the context ended or the stop
-// timed out first.
-func (m *Manager) Drain(ctx context.Context, cause StopCause) error {
-	m.draining.Store(true)
-	m.logger.Info().Str("event", "stop-began").Str("cause", string(cause)).Msg("")
-	ctx, cancel := context.WithTimeout(ctx, m.stopSettings.Timeout.Value())
+// ended, and the error of CallerServer.Stop when the stop was cut short or timed
+// out first.
+func (m *Manager) Drain(stop Stop) error {
+	m.stopping.Store(true)
+	m.logger.Info().
+		Str("event", "stop-began").
+		Str("cause", string(stop.Cause)).
+		Dur("announceUntil", m.schedule.AnnounceUntil).
+		Dur("refuseUntil", m.schedule.RefuseUntil).
+		Dur("cutAt", m.schedule.CutAt).
+		Msg("")
+	ctx, cancel := context.WithDeadline(context.Background(), stop.RequestedAt.Add(m.schedule.CutAt))
 	defer cancel()
+	go func() {
+		select {
+		case <-m.cutRequested:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 
 	m.callers.AnnounceStop()
 	m.membership.Leave()
-	select {
-	case <-time.After(m.stopSettings.AnnouncePeriod.Value()):
-	case <-ctx.Done():
-	}
-	m.refuseUntilDisconnected(ctx)
+	pause.For(ctx, time.Until(stop.RequestedAt.Add(m.schedule.AnnounceUntil)))
+	m.refuseUntilDisconnected(ctx, stop)
 	if err := m.callers.Stop(ctx); err != nil {
 		m.logger.Error().Str("event", "stop-cut-calls").Err(err).Msg("")
 		return err
@@ -152,12 +166,12 @@
 // the time before the platform's kill runs out. Closing a connection while a
 // request is in transit would leave the caller without an answer. Without a kill
 // it does nothing.
-func (m *Manager) refuseUntilDisconnected(ctx context.Context) {
-	if m.stopSettings.KillAfter == 0 {
+func (m *Manager) refuseUntilDisconnected(ctx context.Context, stop Stop) {
+	if m.schedule.RefuseUntil == 0 {
 		return
 	}
 	m.callers.RefuseCalls()
-	ctx, cancel := context.WithTimeout(ctx, m.stopSettings.Timeout.Value()-m.stopSettings.AnnouncePeriod.Value()-serverStopMargin)
+	ctx, cancel := context.WithDeadline(ctx, stop.RequestedAt.Add(m.schedule.RefuseUntil))
 	defer cancel()
 	for m.callers.HasConnections() && pause.For(ctx, connectionCheckInterval) {
 	}
@@ -181,9 +195,7 @@
 	if !found {
 		return
 	}
-	m.stopTimer = time.AfterFunc(at.Sub(now), m.requestStop)
-}
-
-func (m *Manager) requestStop() {
-	m.stopRequestOnce.Do(func() { close(m.stopRequested) })
+	m.stopTimer = time.AfterFunc(at.Sub(now), func() {
+		m.requestStop(time.Now(), gracefulstop.RequestStop, CausePlanned)
+	})
 }
