Bound the memory that is held for callers

Cause: each connection may hold a body up to limits.body, and nothing bounds the sum.

A request asks it before its body is read, by the length that it names, or buffer by buffer where it names none. What doesn't fit takes the place of the largest requests still being received of the workspace that holds most, or is refused as not run with a time to return; a fifth is kept for small calls and for workspaces that hold less. Refused bodies stay unread, the kernel's buffers of these connections count until they are closed, and those of large bodies no longer grow. Without limits.memory nothing is refused. New: the reasons memory-exhausted and memory-reclaimed, the gauge callers_held_bytes by kind, the log line memory-refused.

Not bounded yet: answers that callers read slowly.

--- a/internal/adapters/callerhttp/body.go
+++ b/internal/adapters/callerhttp/body.go
@@ -1,6 +1,7 @@
 package callerhttp
 
 import (
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,17 @@
 	"hawthornstream/internal/core/outcome"
 )
 
+const (
+	// receiveWindow bounds the bytes of a large body that the kernel receives before
+	// they are read.
+	receiveWindow = 128 << 10
+	// unreadLinger is how long a caller whose request was refused unread has to read the
+	// answer before its connection is closed.
+	unreadLinger = 500 * time.Millisecond
+	// firstBodyBuffer is the size of the first buffer for a body of unknown length.
+	firstBodyBuffer = 4 << 10
+)
+
 // headerSize returns the size of the request line and header in bytes, without
 // separators.
 func headerSize(r *http.Request) int64 {
@@ -23,9 +35,9 @@
 	return int64(size)
 }
 
-// readBody reads the whole body and enforces the limits on its size and on the
-// time to receive it.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *outcome.Refusal) {
+// readBody reads the whole body and enforces the limits on its size, on the time to
+// receive it, and on the memory that is held for callers.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, in *IncomingRequest) ([]byte, *outcome.Refusal) {
 	if r.ContentLength > s.limits.MaxBodySize.Bytes() {
 		return nil, s.bodyTooLargeRefusal()
 	}
@@ -34,9 +46,26 @@
 	if err := controller.SetReadDeadline(deadline); err != nil {
 		return nil, notRunRefusal(outcome.ReasonInternal, "the read deadline can't be set")
 	}
-	body, err := readAll(http.MaxBytesReader(w, r.Body, s.limits.MaxBodySize.Bytes()), r.ContentLength)
+	length := max(r.ContentLength, 0)
+	var refusal *outcome.Refusal
+	in.held, refusal = s.memory.reserve(in.Workspace, bytesPerCall+headerSize(r)+length+min(length, receiveWindow), func() {
+		// An error means that the connection is closed already.
+		_ = controller.SetReadDeadline(time.Unix(1, 0))
+	})
+	if refusal != nil {
+		s.refuseUnread(w, r)
+		return nil, refusal
+	}
+	if length > receiveWindow {
+		limitReceiveWindow(r)
+	}
+	body, err := s.readAll(http.MaxBytesReader(w, r.Body, s.limits.MaxBodySize.Bytes()), r.ContentLength, in.held)
+	if refusal := in.held.received(); refusal != nil {
+		s.refuseUnread(w, r)
+		return nil, refusal
+	}
 	if err != nil {
-		return nil, s.bodyReadRefusal(err)
+		return nil, s.bodyReadRefusal(w, r, err)
 	}
 	if err := controller.SetReadDeadline(time.Time{}); err != nil {
 		return nil, notRunRefusal(outcome.ReasonInternal, "the read deadline can't be cleared")
@@ -44,19 +73,66 @@
 	return body, nil
 }
 
-// readAll reads a body of the given length, or up to its end if the length is
-// negative. A known length avoids growing the buffer.
-func readAll(from io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(from)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(from, body)
-	return body, err
+// readAll reads a body of the given length, or up to its end if the length is negative.
+// Memory for a body of unknown length is reserved as it arrives.
+func (s *Server) readAll(from io.Reader, length int64, held *heldMemory) ([]byte, error) {
+	if length >= 0 {
+		body := make([]byte, length)
+		_, err := io.ReadFull(from, body)
+		return body, err
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			grown, err := growBody(body, held)
+			if err != nil {
+				return nil, err
+			}
+			body = grown
+		}
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if eris.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// growBody doubles the buffer of a body. It fails with *outcome.Refusal if there is no
+// memory.
+func growBody(body []byte, held *heldMemory) ([]byte, error) {
+	capacity := max(2*cap(body), firstBodyBuffer)
+	if refusal := held.grow(int64(capacity)); refusal != nil {
+		return nil, refusal
+	}
+	grown := append(make([]byte, 0, capacity), body...)
+	held.shrink(int64(cap(body)))
+	return grown, nil
+}
+
+// limitReceiveWindow keeps the kernel from receiving more of a request ahead of the
+// reader as the connection gets faster.
+func limitReceiveWindow(r *http.Request) {
+	conn := connFromContext(r.Context())
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		conn = encrypted.NetConn()
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// An error means that the connection is closed already.
+		_ = tcp.SetReadBuffer(receiveWindow)
+	}
 }
 
 // bodyReadRefusal returns the refusal for an error of reading the body.
-func (s *Server) bodyReadRefusal(err error) *outcome.Refusal {
+func (s *Server) bodyReadRefusal(w http.ResponseWriter, r *http.Request, err error) *outcome.Refusal {
+	var refusal *outcome.Refusal
+	if eris.As(err, &refusal) {
+		s.refuseUnread(w, r)
+		return refusal
+	}
 	var tooLarge *http.MaxBytesError
 	if eris.As(err, &tooLarge) {
 		return s.bodyTooLargeRefusal()
--- a/internal/adapters/callerhttp/connections.go
+++ b/internal/adapters/callerhttp/connections.go
@@ -22,9 +22,10 @@
 // above the limit, so that their requests get a typed refusal. It is safe for
 // concurrent use.
 type connectionLimiter struct {
-	limit int64
-	open  atomic.Int64
-	gauge tally.Gauge
+	limit  int64
+	open   atomic.Int64
+	gauge  tally.Gauge
+	memory *callerMemory
 }
 
 // Keys of the values in a connection's context.
@@ -33,8 +34,8 @@
 	connKey      struct{}
 )
 
-func newConnectionLimiter(limit int, gauge tally.Gauge) *connectionLimiter {
-	return &connectionLimiter{limit: int64(limit), gauge: gauge}
+func newConnectionLimiter(limit int, gauge tally.Gauge, memory *callerMemory) *connectionLimiter {
+	return &connectionLimiter{limit: int64(limit), gauge: gauge, memory: memory}
 }
 
 // add changes the number of open connections by delta and returns the new
@@ -42,6 +43,7 @@
 func (l *connectionLimiter) add(delta int64) int64 {
 	open := l.open.Add(delta)
 	l.gauge.Update(float64(open))
+	l.memory.holdConnections(delta)
 	return open
 }
 
@@ -62,9 +64,10 @@
 }
 
 // connState is the ConnState function of the HTTP server.
-func (l *connectionLimiter) connState(_ net.Conn, state http.ConnState) {
+func (l *connectionLimiter) connState(conn net.Conn, state http.ConnState) {
 	if state == http.StateClosed || state == http.StateHijacked {
 		l.add(-1)
+		l.memory.releaseUnread(conn)
 	}
 }
 
--- a/internal/adapters/callerhttp/dialect.go
+++ b/internal/adapters/callerhttp/dialect.go
@@ -41,6 +41,8 @@
 
 	// body is the body that the default dialect has read.
 	body []byte
+	// held is the memory that the request holds; nil before its body is read.
+	held *heldMemory
 }
 
 // DefaultDialect returns the daemon's own dialect, for daemons whose platform
--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -74,6 +74,7 @@
 func (s *Server) newHandler(parse Parser) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		in := &IncomingRequest{ID: s.dialect.AssignRequestID(w, r)}
+		defer func() { in.held.release() }()
 		s.setConnectionHeader(w.Header(), r)
 		call, refusal := s.admit(w, r, in, parse)
 		if refusal != nil {
@@ -129,7 +130,7 @@
 	if refusal := s.stoppingRefusal(); refusal != nil {
 		return nil, refusal
 	}
-	in.ReadBody = func() ([]byte, *outcome.Refusal) { return s.readBody(w, r) }
+	in.ReadBody = func() ([]byte, *outcome.Refusal) { return s.readBody(w, r, in) }
 	if refusal := s.shedder.shedRefusal(); refusal != nil {
 		return nil, refusal
 	}
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -61,6 +61,7 @@
 	logger        *log.Logger
 	logLimiter    *logging.Limiter
 	scope         tally.Scope
+	memory        *callerMemory
 	connections   *connectionLimiter
 	// keepAliveHeader is the value of the Keep-Alive header field. It tells callers
 	// how long an idle connection is kept open.
@@ -93,6 +94,8 @@
 	logger *log.Logger,
 ) *Server {
 	scope = scope.SubScope("callers")
+	logLimiter := logging.NewLimiter(logger)
+	held := newCallerMemory(s.Limits, scope, logger, logLimiter)
 	server := &Server{
 		address:         s.Listen.Callers,
 		keyPair:         s.TLS.Callers,
@@ -102,11 +105,12 @@
 		dialect:         dialect,
 		refusals:        metrics.NewCounterVec(scope, "refusals", "reason", "run"),
 		logger:          logger,
-		logLimiter:      logging.NewLimiter(logger),
+		logLimiter:      logLimiter,
 		scope:           scope,
 		openCalls:       newOpenCalls(),
 		shedder:         newLoadShedder(s.Limits.MaxProcessorWait.Value(), scope, logger),
-		connections:     newConnectionLimiter(maxConnections(s.Limits), scope.Gauge("connections")),
+		memory:          held,
+		connections:     newConnectionLimiter(maxConnections(s.Limits), scope.Gauge("connections"), held),
 		keepAliveHeader: keepAliveValue(s.Limits.IdleTimeout.Value()),
 		listen:          s.Listen,
 	}
--- a/internal/adapters/callerhttp/status.go
+++ b/internal/adapters/callerhttp/status.go
@@ -24,6 +24,8 @@
 	outcome.ReasonStopping:               http.StatusServiceUnavailable,
 	outcome.ReasonTooManyConnections:     http.StatusServiceUnavailable,
 	outcome.ReasonDaemonOverloaded:       http.StatusServiceUnavailable,
+	outcome.ReasonMemoryExhausted:        http.StatusServiceUnavailable,
+	outcome.ReasonMemoryReclaimed:        http.StatusServiceUnavailable,
 	outcome.ReasonQueueFull:              http.StatusTooManyRequests,
 	outcome.ReasonDeadlineExceeded:       http.StatusGatewayTimeout,
 	outcome.ReasonNoServer:               http.StatusServiceUnavailable,
--- a/internal/core/outcome/reason.go
+++ b/internal/core/outcome/reason.go
@@ -23,6 +23,8 @@
 	ReasonStopping               Reason = "stopping"
 	ReasonTooManyConnections     Reason = "too-many-connections"
 	ReasonDaemonOverloaded       Reason = "daemon-overloaded" // the daemon has more requests than processor time
+	ReasonMemoryExhausted        Reason = "memory-exhausted"  // requests hold all the memory that the daemon has for them
+	ReasonMemoryReclaimed        Reason = "memory-reclaimed"  // the request had to make room for one of another workspace
 	ReasonQueueFull              Reason = "queue-full"
 	ReasonDeadlineExceeded       Reason = "deadline-exceeded"
 	ReasonCallerGone             Reason = "caller-gone"
