Starting daemons watch with one of each failure domain

Daemons that came back into a fleet that watches began to watch too, and at the first start most of them know few others and ranked themselves among the first three.

In its first 5 s, a daemon now watches only if it is the first of its failure domain among those that it knows; the first three do so later, as before.

--- a/internal/core/membership/watchers.go
+++ b/internal/core/membership/watchers.go
@@ -2,9 +2,13 @@
 
 import "time"
 
-// DiscoveryPeriod is how long after its start a daemon may know only a part of the fleet:
-// those that start with it register meanwhile, and it has listed them twice by then.
-const DiscoveryPeriod = 1500 * time.Millisecond
+const (
+	// DiscoveryPeriod is how long after its start a daemon may know only itself: those that
+	// start with it register meanwhile, and it has listed them twice by then.
+	DiscoveryPeriod = 1500 * time.Millisecond
+	// SettlingPeriod is how long after its start a daemon may know only a part of the fleet.
+	SettlingPeriod = 5 * time.Second
+)
 
 // WatchPolicy decides which daemons of a fleet watch an object of the platform: every
 // watch counts as a call there, and the others are told by those that watch.
@@ -19,10 +23,15 @@
 
 // IsWatcher reports whether a daemon watches that started sinceStart ago and knows so many
 // daemons, itself included, of which rank in its failure domain precede it. A daemon that
-// knows only a part of them ranks itself too high, so that no watcher is missing.
+// knows only a part of them ranks itself too high, so that of those that start together one
+// at least watches in each failure domain, and few more do.
 func (p WatchPolicy) IsWatcher(sinceStart time.Duration, daemons, rank int) bool {
-	if sinceStart < DiscoveryPeriod {
-		return daemons > 1 && rank < p.PerDomain
+	switch {
+	case sinceStart < DiscoveryPeriod:
+		return daemons > 1 && rank <= 0
+	case sinceStart < SettlingPeriod:
+		return rank <= 0
+	default:
+		return daemons <= p.MaxAllWatching || rank < p.PerDomain
 	}
-	return daemons <= p.MaxAllWatching || rank < p.PerDomain
 }
