Use no server whose entry can't be used

Callers: calls placed at a server that can't be reached, or waited for; with a plain service an entry of 9e18 slots counted as all the capacity of its failure domain. Followers: a list with names or versions of a megabyte exceeds what a message between daemons may have (1,179,648 bytes), so that they would refuse it whole (by reading, not shown).

Cause: an entry was checked for its types, state, failure domain and the form of its address, not for values that no server can have: slots (negative ones became unknown), port 0, the unspecified, multicast and broadcast addresses, IPv6 zones, starts in the year 285,000,000, names with control characters or of any length.

Change: serverlist.CheckEntry, pure, for entries of the store and for those of another daemon's list, which may run another version of the program.

--- /dev/null
+++ b/internal/core/serverlist/entry.go
@@ -0,0 +1,86 @@
+package serverlist
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"hawthornstream/internal/ports"
+)
+
+const (
+	// maxNameBytes limits the name, service and software version of a server. They are in
+	// headers, logs and messages to other daemons.
+	maxNameBytes = 256
+	// maxSlots limits the slots of a server, which count as capacity.
+	maxSlots = 1_000_000
+	// maxStartedMillis is the end of the year 9999. A start beyond it would hold against all
+	// later entries of the server.
+	maxStartedMillis = 253_402_300_799_999
+)
+
+// Field is a field of an entry.
+type Field string
+
+// The fields that CheckEntry checks.
+const (
+	FieldName    Field = "name"
+	FieldService Field = "service"
+	FieldAddress Field = "address"
+	FieldSlots   Field = "slots"
+	FieldStarted Field = "started"
+	FieldVersion Field = "version"
+)
+
+// UnusableEntryError reports an entry of a server that can't be used.
+type UnusableEntryError struct {
+	// Field is the first field whose value can't be used.
+	Field Field
+}
+
+// Error implements error.
+func (e *UnusableEntryError) Error() string {
+	return fmt.Sprintf("the %s of the server can't be used", e.Field)
+}
+
+// CheckEntry fails with *UnusableEntryError if no call could be sent to the server, or its
+// entry would disturb the use of others.
+func CheckEntry(vm ports.VM) error {
+	switch {
+	case !isName(string(vm.Name)):
+		return &UnusableEntryError{Field: FieldName}
+	case !isName(string(vm.Service)):
+		return &UnusableEntryError{Field: FieldService}
+	case !IsReachableAddress(vm.Address):
+		return &UnusableEntryError{Field: FieldAddress}
+	case vm.Slots < 1 || vm.Slots > maxSlots:
+		return &UnusableEntryError{Field: FieldSlots}
+	case vm.StartedMillis < 0 || vm.StartedMillis > maxStartedMillis:
+		return &UnusableEntryError{Field: FieldStarted}
+	case vm.SoftwareVersion != "" && !isName(vm.SoftwareVersion):
+		return &UnusableEntryError{Field: FieldVersion}
+	}
+	return nil
+}
+
+// isName reports whether text is of a length and of characters that a header field and a
+// line of the log can hold. The replacement character shows that a part was unreadable.
+func isName(text string) bool {
+	if text == "" || len(text) > maxNameBytes || strings.TrimSpace(text) != text {
+		return false
+	}
+	return !strings.ContainsFunc(text, func(r rune) bool { return r == utf8.RuneError || !unicode.IsPrint(r) })
+}
+
+// IsReachableAddress reports whether text is an IP address and port of one VM that others
+// can reach.
+func IsReachableAddress(text string) bool {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || address.Port() == 0 || address.Addr().Zone() != "" {
+		return false
+	}
+	ip := address.Addr().Unmap()
+	return !ip.IsUnspecified() && !ip.IsMulticast() && ip != netip.AddrFrom4([4]byte{255, 255, 255, 255})
+}
