Take a configuration whose names have any printable characters

Cause: the daemon's format of names, which is for the documents that operators give to it, applied to what the platform's store had accepted and to what other daemons pass on.

Evidence, with the struct tags as they were:

go test ./platform -run TenantName --- FAIL: TestTenantNameKeepsNoConfigurationOut (0.00s) ops@agency.mn: the configuration object holds no valid chain: invalid configuration: workspaces[ops@agency.mn]: "ops@agency.mn" is not accepted; allowed: 1 to 63 letters, ... and the same for Cyrillic letters, "a/b c:d", "_" and a name of 200 bytes

Change: names in a document are labels, 1 to 256 bytes that a header field and a line of the log can hold (fieldcheck.IsLabel, which serverlist.CheckEntry now uses too). Parse, for operators' documents on the own interface, checks the stricter names as before (checkNames); ParseAccepted, for documents of other daemons, doesn't. No test was changed.

After: the test passes, and TestTenantOfAnyNameIsServedInTime (a daemon puts the tenant's key in force within 2.5 s, and the server gets the name as it is). go test ./internal/core/... ./internal/app/liveconfig ./internal/adapters/operatorhttp: pass.

--- a/internal/app/liveconfig/propagation.go
+++ b/internal/app/liveconfig/propagation.go
@@ -238,7 +238,7 @@
 
 func documentFromPush(current *ports.Configuration, push *ports.ConfigurationPush) (configuration.Document, error) {
 	if push.Base == 0 {
-		return configuration.Parse(push.Document)
+		return configuration.ParseAccepted(push.Document)
 	}
 	return configuration.ApplyPatch(current.Document, push.Patch)
 }
--- a/internal/core/configuration/document.go
+++ b/internal/core/configuration/document.go
@@ -41,13 +41,13 @@
 // routes.
 type Document struct {
 	// Services by name. Callers give the name as the model or in the path.
-	Services map[ServiceName]Service `json:"services" validate:"dive,keys,name,endkeys"`
+	Services map[ServiceName]Service `json:"services" validate:"dive,keys,label,endkeys"`
 	// Classes by name; at least one.
-	Classes map[ClassName]Class `json:"classes" validate:"required,min=1,dive,keys,name,endkeys"`
+	Classes map[ClassName]Class `json:"classes" validate:"required,min=1,dive,keys,label,endkeys"`
 	// Workspaces by name.
-	Workspaces map[WorkspaceID]Workspace `json:"workspaces" validate:"dive,keys,name,endkeys"`
+	Workspaces map[WorkspaceID]Workspace `json:"workspaces" validate:"dive,keys,label,endkeys"`
 	// Routes by name. They select a service by the host and path of a request.
-	Routes map[RouteName]Route `json:"routes,omitempty" validate:"dive,keys,name,endkeys"`
+	Routes map[RouteName]Route `json:"routes,omitempty" validate:"dive,keys,label,endkeys"`
 	// Limits restrict what callers may send. Optional.
 	Limits Limits `json:"limits,omitzero"`
 	// PlannedStops lists the VMs whose daemons are to stop gracefully.
@@ -64,7 +64,7 @@
 	// Kind is "engine" or "plain".
 	Kind ServiceKind `json:"kind" validate:"oneof=engine plain"`
 	// DefaultClass is the class of calls that don't name one.
-	DefaultClass ClassName `json:"defaultClass" validate:"name"`
+	DefaultClass ClassName `json:"defaultClass" validate:"label"`
 	// MaxInFlight is the maximum number of concurrent requests to one backend
 	// server. Default: 32 for engines, 8 for plain services; 1 to 4096.
 	MaxInFlight int `json:"maxInFlight,omitempty" validate:"omitempty,between=1 4096" fieldcheck:"notzero"`
@@ -113,7 +113,7 @@
 	KeyDigests []string `json:"keyDigests" validate:"dive,keydigest"`
 	// AllowedRegions are the regions in which the workspace's calls may run. Default:
 	// all.
-	AllowedRegions []Region `json:"allowedRegions,omitempty" validate:"dive,name"`
+	AllowedRegions []Region `json:"allowedRegions,omitempty" validate:"dive,label"`
 }
 
 // PlannedStop requests the graceful stop of one daemon.
--- a/internal/core/configuration/parse.go
+++ b/internal/core/configuration/parse.go
@@ -18,12 +18,24 @@
 	return "invalid configuration: " + fieldcheck.Join(e.Faults)
 }
 
-// Parse decodes and validates the JSON of a document. It fails with
-// *InvalidDocumentError, which lists all faults.
+// Parse decodes and validates the JSON of a document that an operator gives to a daemon.
+// It fails with *InvalidDocumentError, which lists all faults.
 func Parse(data []byte) (Document, error) {
+	return parse(data, func(document Document) []fieldcheck.Fault {
+		return fieldcheck.Merge(checkNames(document), findFaults(document))
+	})
+}
+
+// ParseAccepted is Parse for a document that is already in force elsewhere. Its names may
+// be any label, since the platform that accepted it has rules of its own.
+func ParseAccepted(data []byte) (Document, error) {
+	return parse(data, findFaults)
+}
+
+func parse(data []byte, check func(Document) []fieldcheck.Fault) (Document, error) {
 	var document Document
 	faults := fieldcheck.Decode(data, &document)
-	faults = fieldcheck.Merge(faults, findFaults(document))
+	faults = fieldcheck.Merge(faults, check(document))
 	if len(faults) > 0 {
 		return Document{}, &InvalidDocumentError{Faults: faults}
 	}
--- a/internal/core/configuration/routes.go
+++ b/internal/core/configuration/routes.go
@@ -22,7 +22,7 @@
 	// of a host wins. Required; it begins and ends with "/".
 	PathPrefix string `json:"pathPrefix" validate:"required,startswith=/,endswith=/"`
 	// Class is the class of the route's calls. Required.
-	Class ClassName `json:"class" validate:"name"`
+	Class ClassName `json:"class" validate:"label"`
 	// Split distributes the calls among services by weight. Required.
 	Split []WeightedService `json:"split" validate:"required,min=1,dive"`
 	// MaxServers is the maximum number of backend servers that one call may be
@@ -40,13 +40,13 @@
 	PauseWithin Duration `json:"pauseWithin,omitempty" validate:"omitempty,between=1ms 24h" fieldcheck:"notzero"`
 	// AllowedRegions are the regions in which the route's calls may run. Where the
 	// workspace names regions too, both lists bind. Default: all.
-	AllowedRegions []Region `json:"allowedRegions,omitempty" validate:"dive,name"`
+	AllowedRegions []Region `json:"allowedRegions,omitempty" validate:"dive,label"`
 }
 
 // WeightedService is a service with the weight that determines its part of a
 // route's calls.
 type WeightedService struct {
-	Service ServiceName `json:"service" validate:"name"`
+	Service ServiceName `json:"service" validate:"label"`
 	// Weight is relative to the weights of the route's other services. 0 to
 	// 1000000; when all are 0, the first service gets every call.
 	Weight int `json:"weight" validate:"between=0 1000000"`
--- a/internal/core/configuration/validate.go
+++ b/internal/core/configuration/validate.go
@@ -29,6 +29,44 @@
 	return faults
 }
 
+// checkNames reports names that an operator may not give. All other names in the document
+// refer to these.
+func checkNames(document Document) []fieldcheck.Fault {
+	faults := checkNamesOf("services", document.Services)
+	faults = append(faults, checkNamesOf("classes", document.Classes)...)
+	faults = append(faults, checkNamesOf("workspaces", document.Workspaces)...)
+	faults = append(faults, checkNamesOf("routes", document.Routes)...)
+	for _, name := range sortedKeys(document.Workspaces) {
+		path := fmt.Sprintf("workspaces[%s].allowedRegions", name)
+		faults = append(faults, checkRegionNames(path, document.Workspaces[name].AllowedRegions)...)
+	}
+	for _, name := range sortedKeys(document.Routes) {
+		path := fmt.Sprintf("routes[%s].allowedRegions", name)
+		faults = append(faults, checkRegionNames(path, document.Routes[name].AllowedRegions)...)
+	}
+	return faults
+}
+
+func checkNamesOf[K ~string, V any](section string, entries map[K]V) []fieldcheck.Fault {
+	var faults []fieldcheck.Fault
+	for _, name := range sortedKeys(entries) {
+		if !fieldcheck.IsValidName(string(name)) {
+			faults = append(faults, newFault(fmt.Sprintf("%s[%s]", section, name), name, fieldcheck.NameFormat))
+		}
+	}
+	return faults
+}
+
+func checkRegionNames(path string, regions []Region) []fieldcheck.Fault {
+	var faults []fieldcheck.Fault
+	for i, region := range regions {
+		if !fieldcheck.IsValidName(string(region)) {
+			faults = append(faults, newFault(fmt.Sprintf("%s[%d]", path, i), region, fieldcheck.NameFormat))
+		}
+	}
+	return faults
+}
+
 // checkServices reports services whose default class is undefined.
 func checkServices(document Document) []fieldcheck.Fault {
 	var faults []fieldcheck.Fault
--- a/internal/core/fieldcheck/validate.go
+++ b/internal/core/fieldcheck/validate.go
@@ -7,6 +7,8 @@
 	"reflect"
 	"regexp"
 	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/go-playground/validator/v10"
 )
@@ -18,6 +20,7 @@
 	tagAddrPorts = "ipports"
 	tagKeyDigest = "keydigest"
 	tagName      = "name"
+	tagLabel     = "label"
 )
 
 var (
@@ -28,6 +31,12 @@
 // NameFormat describes the names that IsValidName accepts.
 const NameFormat = "1 to 63 letters, digits, '.', '_' or '-', the first a letter or digit"
 
+// maxLabelBytes is the length of the longest label.
+const maxLabelBytes = 256
+
+// LabelFormat describes the labels that IsLabel accepts.
+const LabelFormat = "1 to 256 bytes of printable characters, without a space at either end"
+
 // KeyDigestFormat describes the digests that IsKeyDigest accepts.
 const KeyDigestFormat = "a SHA-256 digest: 64 characters of lower-case hexadecimal"
 
@@ -36,6 +45,16 @@
 	return namePattern.MatchString(name)
 }
 
+// IsLabel returns whether a text that names something has the format that LabelFormat
+// describes: a header field and a line of the log can hold it. The replacement character
+// shows that a part was unreadable.
+func IsLabel(text string) bool {
+	if text == "" || len(text) > maxLabelBytes || strings.TrimSpace(text) != text {
+		return false
+	}
+	return !strings.ContainsFunc(text, func(r rune) bool { return r == utf8.RuneError || !unicode.IsPrint(r) })
+}
+
 // IsKeyDigest returns whether text is a SHA-256 digest in lower-case hexadecimal.
 func IsKeyDigest(text string) bool {
 	return keyDigestPattern.MatchString(text)
@@ -81,6 +100,9 @@
 	mustRegister(v, tagName, func(field validator.FieldLevel) bool {
 		return IsValidName(field.Field().String())
 	})
+	mustRegister(v, tagLabel, func(field validator.FieldLevel) bool {
+		return IsLabel(field.Field().String())
+	})
 	return v
 }
 
@@ -97,7 +119,8 @@
 //   - ipport: an IP address and port,
 //   - ipports: a text that ParseAddrPorts accepts,
 //   - keydigest: a text that IsKeyDigest accepts,
-//   - name: a text that IsValidName accepts.
+//   - name: a text that IsValidName accepts,
+//   - label: a text that IsLabel accepts.
 func Validate(value any) []Fault {
 	err := structValidator.Struct(value)
 	failures, ok := err.(validator.ValidationErrors)
@@ -126,6 +149,8 @@
 		return KeyDigestFormat
 	case tagName:
 		return NameFormat
+	case tagLabel:
+		return LabelFormat
 	case "required":
 		return "a value (required)"
 	case "http_url":
--- a/internal/core/serverlist/entry.go
+++ b/internal/core/serverlist/entry.go
@@ -3,17 +3,12 @@
 import (
 	"fmt"
 	"net/netip"
-	"strings"
-	"unicode"
-	"unicode/utf8"
 
+	"hawthornstream/internal/core/fieldcheck"
 	"hawthornstream/internal/ports"
 )
 
 const (
-	// maxNameBytes limits the name, service and software version of a server. They are in
-	// headers, logs and messages to other daemons.
-	maxNameBytes = 256
 	// maxSlots limits the slots of a server, which count as capacity.
 	maxSlots = 1_000_000
 	// maxStartedMillis is the end of the year 9999. A start beyond it would hold against all
@@ -49,9 +44,9 @@
 // entry would disturb the use of others.
 func CheckEntry(vm ports.VM) error {
 	switch {
-	case !isName(string(vm.Name)):
+	case !fieldcheck.IsLabel(string(vm.Name)):
 		return &UnusableEntryError{Field: FieldName}
-	case !isName(string(vm.Service)):
+	case !fieldcheck.IsLabel(string(vm.Service)):
 		return &UnusableEntryError{Field: FieldService}
 	case !IsReachableAddress(vm.Address):
 		return &UnusableEntryError{Field: FieldAddress}
@@ -59,21 +54,12 @@
 		return &UnusableEntryError{Field: FieldSlots}
 	case vm.StartedMillis < 0 || vm.StartedMillis > maxStartedMillis:
 		return &UnusableEntryError{Field: FieldStarted}
-	case vm.SoftwareVersion != "" && !isName(vm.SoftwareVersion):
+	case vm.SoftwareVersion != "" && !fieldcheck.IsLabel(vm.SoftwareVersion):
 		return &UnusableEntryError{Field: FieldVersion}
 	}
 	return nil
 }
 
-// isName reports whether text is of a length and of characters that a header field and a
-// line of the log can hold. The replacement character shows that a part was unreadable.
-func isName(text string) bool {
-	if text == "" || len(text) > maxNameBytes || strings.TrimSpace(text) != text {
-		return false
-	}
-	return !strings.ContainsFunc(text, func(r rune) bool { return r == utf8.RuneError || !unicode.IsPrint(r) })
-}
-
 // IsReachableAddress reports whether text is an IP address and port of one VM that others
 // can reach.
 func IsReachableAddress(text string) bool {
