Streams are relayed with their comments and events without data

What callers saw: comments, events without data and empty lines between events were missing in the answer, so that a client with a handler of "ping" events, or one that follows "retry" and "id" fields, got another stream than the server sent.

Cause: sse.Reader dropped everything up to the next event that has data.

Change: they belong to the event that follows, which is relayed with them; what comes after the last event ends the answer. They still end no silence, and the limit of 1 MiB for bytes without an event holds. Weighed: to relay them as they arrive. A write to the caller means progress to the supervisor of runs and ends the try beside a silent run; comments must not. So they arrive with the next event, and a comment doesn't keep a caller's connection alive meanwhile (open). The same reader serves the streams of the own interface; there, what follows the event "[DONE]" is still not relayed.

--- a/internal/adapters/sse/sse.go
+++ b/internal/adapters/sse/sse.go
@@ -23,8 +23,9 @@
 	// Done reports whether the event ends a complete stream: its data is
 	// "[DONE]".
 	Done bool
-	// Raw is the event as received, including the blank line at its end. It is
-	// valid until the next event is read.
+	// Raw is the event as received, including the blank line at its end, and what
+	// came before it without data, such as comments. It is valid until the next event
+	// is read.
 	Raw []byte
 }
 
@@ -48,18 +49,19 @@
 func (r *Reader) Next() (Event, error) {
 	var event Event
 	hasData := false
-	skipped := 0
 	r.raw = r.raw[:0]
+	// blockStart is where the lines since the last blank one begin.
+	blockStart := 0
 	for {
 		line, err := r.input.ReadSlice('\n')
 		r.raw = append(r.raw, line...)
-		if skipped+len(r.raw) > maxEventBytes {
+		if len(r.raw) > maxEventBytes {
 			return Event{}, &InvalidEventError{Cause: "event too long"}
 		}
 		if err == bufio.ErrBufferFull {
 			continue
 		}
-		if err == io.EOF && len(bytes.TrimSpace(r.raw)) > 0 {
+		if err == io.EOF && len(bytes.TrimSpace(r.raw[blockStart:])) > 0 {
 			return Event{}, &TruncatedEventError{}
 		}
 		if err != nil {
@@ -67,9 +69,8 @@
 		}
 		line = lastLine(r.raw)
 		if len(line) == 0 {
+			blockStart = len(r.raw)
 			if !hasData {
-				skipped += len(r.raw)
-				r.raw = r.raw[:0]
 				continue
 			}
 			event.Raw = r.raw
@@ -83,6 +84,12 @@
 	}
 }
 
+// Rest returns what came without data after the last event, once Next has failed with
+// io.EOF.
+func (r *Reader) Rest() []byte {
+	return r.raw
+}
+
 // lastLine returns the last line of raw, which ends with a newline, without its
 // line ending.
 func lastLine(raw []byte) []byte {
