A stream may begin with the event ID 0

What callers saw: a stream whose first event has the ID 0 was given up with 502 ("answer-truncated"), tried at up to three servers where that is allowed, and its servers counted as ill.

Cause: sse.Reader took an ID below 1 for a fault, since 0 stands for an event without an ID.

Change: Event.HasID tells the two apart.

--- a/internal/adapters/sse/sse.go
+++ b/internal/adapters/sse/sse.go
@@ -20,6 +20,8 @@
 type Event struct {
 	// ID is zero when the event has none.
 	ID int
+	// HasID reports whether the event has an ID. The first one may be zero.
+	HasID bool
 	// Done reports whether the event ends a complete stream: its data is
 	// "[DONE]".
 	Done bool
@@ -78,7 +80,7 @@
 		}
 		isData, ok := event.parseField(line)
 		if !ok {
-			return Event{}, &InvalidEventError{Cause: "event ID is not a positive number"}
+			return Event{}, &InvalidEventError{Cause: "event ID is not a number from 0 on"}
 		}
 		hasData = hasData || isData
 	}
@@ -106,10 +108,10 @@
 	switch string(name) {
 	case "id":
 		id, err := strconv.Atoi(string(value))
-		if err != nil || id < 1 {
+		if err != nil || id < 0 {
 			return false, false
 		}
-		e.ID = id
+		e.ID, e.HasID = id, true
 	case "data":
 		e.Done = string(value) == DoneData
 		return true, true
