A silent connection to the store costs one request

What was seen, by reading: when something between a daemon and the store loses track of their connections, each idle connection of the pool (up to eight) takes the next request up to its timeout, 1.5 s or for a watch 3.7 s, before a new one is opened. A daemon that watches misses changes for as long; callers meet removed keys and servers meanwhile.

Cause: the client of the store took connections from the pool whatever became of the request before.

Change: the shared transport closes the idle connections when a request gets no answer, except when it was cancelled, as the backend servers' client does. Counter platform_requests_unanswered; store-lost and store-regained are in the log as before.

--- a/internal/adapters/objectapi/client.go
+++ b/internal/adapters/objectapi/client.go
@@ -46,7 +46,7 @@
 func New(baseURL string, scope tally.Scope) *Client {
 	return &Client{
 		baseURL:    strings.TrimSuffix(baseURL, "/") + "/v1/objects/",
-		httpClient: NewHTTPClient(),
+		httpClient: NewHTTPClient(scope),
 		scope:      scope,
 	}
 }
--- a/internal/adapters/objectapi/transport.go
+++ b/internal/adapters/objectapi/transport.go
@@ -1,10 +1,14 @@
 package objectapi
 
 import (
+	"context"
+	"errors"
 	"net"
 	"net/http"
 	"syscall"
 	"time"
+
+	"github.com/uber-go/tally/v4"
 )
 
 const (
@@ -28,9 +32,10 @@
 )
 
 // NewHTTPClient returns an HTTP client for any form of the platform's API. It
-// detects dead connections with keep-alive probes and TCP_USER_TIMEOUT, and
-// returns redirects to the caller instead of following them.
-func NewHTTPClient() *http.Client {
+// detects dead connections with keep-alive probes and TCP_USER_TIMEOUT, closes the idle
+// ones after a request that got no answer, and returns redirects to the caller instead of
+// following them. It counts such requests in the scope as platform_requests_unanswered.
+func NewHTTPClient(scope tally.Scope) *http.Client {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -39,17 +44,38 @@
 		Control: setTCPUserTimeout,
 	}
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConns:        maxIdleConns,
-			MaxIdleConnsPerHost: maxIdleConns,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
+		Transport: &transport{
+			Transport: &http.Transport{
+				DialContext:         dialer.DialContext,
+				MaxIdleConns:        maxIdleConns,
+				MaxIdleConnsPerHost: maxIdleConns,
+				IdleConnTimeout:     idleTimeout,
+				DisableCompression:  true,
+			},
+			unanswered: scope.Counter("platform_requests_unanswered"),
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+// transport is an HTTP transport that takes the connections to be lost on which no request
+// is running when another one gets no answer. What lies between loses track of all
+// connections at once; each of them would take the next request up to its timeout.
+type transport struct {
+	*http.Transport
+	unanswered tally.Counter
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(request)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		t.unanswered.Inc(1)
+		t.CloseIdleConnections()
+	}
+	return response, err
+}
+
 // setTCPUserTimeout sets TCP_USER_TIMEOUT, so that the kernel closes a connection
 // whose other end no longer acknowledges.
 func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
