--- a/internal/adapters/sse/sse.go
+++ b/internal/adapters/sse/sse.go
@@ -20,11 +20,14 @@
 type Event struct {
 	// ID is zero when the event has none.
 	ID int
+	// HasID reports whether the event has an ID. The first one may be zero.
+	HasID bool
 	// Done reports whether the event ends a complete stream: its data is
 	// "[DONE]".
 	Done bool
-	// Raw is the event as received, including the blank line at its end. It is
-	// valid until the next event is read.
+	// Raw is the event as received, including the blank line at its end, and what
+	// came before it without data, such as comments. It is valid until the next event
+	// is read.
 	Raw []byte
 }
 
@@ -48,18 +51,19 @@
 func (r *Reader) Next() (Event, error) {
 	var event Event
 	hasData := false
-	skipped := 0
 	r.raw = r.raw[:0]
+	// blockStart is where the lines since the last blank one begin.
+	blockStart := 0
 	for {
 		line, err := r.input.ReadSlice('\n')
 		r.raw = append(r.raw, line...)
-		if skipped+len(r.raw) > maxEventBytes {
+		if len(r.raw) > maxEventBytes {
 			return Event{}, &InvalidEventError{Cause: "event too long"}
 		}
 		if err == bufio.ErrBufferFull {
 			continue
 		}
-		if err == io.EOF && len(bytes.TrimSpace(r.raw)) > 0 {
+		if err == io.EOF && len(bytes.TrimSpace(r.raw[blockStart:])) > 0 {
 			return Event{}, &TruncatedEventError{}
 		}
 		if err != nil {
@@ -67,9 +71,8 @@
 		}
 		line = lastLine(r.raw)
 		if len(line) == 0 {
+			blockStart = len(r.raw)
 			if !hasData {
-				skipped += len(r.raw)
-				r.raw = r.raw[:0]
 				continue
 			}
 			event.Raw = r.raw
@@ -77,12 +80,18 @@
 		}
 		isData, ok := event.parseField(line)
 		if !ok {
-			return Event{}, &InvalidEventError{Cause: "event ID is not a positive number"}
+			return Event{}, &InvalidEventError{Cause: "event ID is not a number from 0 on"}
 		}
 		hasData = hasData || isData
 	}
 }
 
+// Rest returns what came without data after the last event, once Next has failed with
+// io.EOF.
+func (r *Reader) Rest() []byte {
+	return r.raw
+}
+
 // lastLine returns the last line of raw, which ends with a newline, without its
 // line ending.
 func lastLine(raw []byte) []byte {
@@ -99,10 +108,10 @@
 	switch string(name) {
 	case "id":
 		id, err := strconv.Atoi(string(value))
-		if err != nil || id < 1 {
+		if err != nil || id < 0 {
 			return false, false
 		}
-		e.ID = id
+		e.ID, e.HasID = id, true
 	case "data":
 		e.Done = string(value) == DoneData
 		return true, true
