Stream origins: a view of the versions that may be in progress

A daemon knew since when its list has shown one software version alone, which says nothing of versions whose servers left a moment ago. The log of resumptions tells whether several versions may be in progress; no decision uses it yet.

--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -107,6 +107,7 @@
 	evacuated        core.EvacuatedDomains
 	pools            map[ports.ServiceName]*core.Pool
 	versionHistories map[ports.ServiceName]*streamorigin.VersionHistory
+	versionViews     map[ports.ServiceName]*streamorigin.VersionView
 	notices          *core.Notices
 	limitSharing     *core.LimitSharing
 	// capacity is what the engines can do now, in tokens per second; zero for unknown.
@@ -156,6 +157,7 @@
 		knownRegions:          regionsInSettings(p.Settings),
 		pools:                 make(map[ports.ServiceName]*core.Pool),
 		versionHistories:      make(map[ports.ServiceName]*streamorigin.VersionHistory),
+		versionViews:          make(map[ports.ServiceName]*streamorigin.VersionView),
 		notices:               core.NewNotices(),
 		limitSharing:          core.NewLimitSharing(time.Now(), p.Directory.Self()),
 		shares:                core.NewShareTracker(),
--- a/internal/app/dispatch/resumption.go
+++ b/internal/app/dispatch/resumption.go
@@ -30,9 +30,10 @@
 	if history, ok := m.versionHistories[call.Service]; ok {
 		evidence.SingleVersion, evidence.SingleVersionFor = history.SingleVersion(now)
 	}
+	several := m.severalVersions(now, call.Service)
 	m.mu.Unlock()
 	decision := streamorigin.Decide(evidence)
-	m.recordResumption(call, decision)
+	m.recordResumption(call, decision, several)
 	switch decision.Reason {
 	case "":
 		return decision, nil
@@ -44,7 +45,7 @@
 }
 
 // recordResumption counts and logs the decision on a stream that its caller resumes.
-func (m *Manager) recordResumption(call *ports.Call, decision streamorigin.Decision) {
+func (m *Manager) recordResumption(call *ports.Call, decision streamorigin.Decision, severalVersions bool) {
 	m.resumptionCounter.Inc(string(call.Service), string(decision.Source), string(decision.Reason))
 	if !m.limiter.Allow(eventResumption, string(decision.Source)) {
 		return
@@ -52,19 +53,28 @@
 	m.logger.Info().Str("event", eventResumption).Str("request", string(call.ID)).
 		Str("resumes", string(call.Resumes)).Int("resumesAfter", call.LastEventID).
 		Str("service", string(call.Service)).Str("softwareVersion", decision.SoftwareVersion).
-		Str("source", string(decision.Source)).Str("reason", string(decision.Reason)).Msg("")
+		Str("source", string(decision.Source)).Str("reason", string(decision.Reason)).
+		Bool("severalVersions", severalVersions).Msg("")
 }
 
 // observeVersions records which software versions the list of servers shows now. The
 // caller holds the mutex.
 func (m *Manager) observeVersions(now time.Time, isFresh bool) {
+	era := m.listDigest().Era
 	for service, pool := range m.pools {
+		view, ok := m.versionViews[service]
+		if !ok {
+			view = streamorigin.NewVersionView()
+			m.versionViews[service] = view
+		}
+		versions := pool.SoftwareVersions()
+		view.Observe(now, streamorigin.ListObservation{Versions: versions, Era: era, Fresh: isFresh})
 		history, ok := m.versionHistories[service]
 		if !ok {
 			history = &streamorigin.VersionHistory{}
 			m.versionHistories[service] = history
 		}
-		history.Observe(now, pool.SoftwareVersions(), isFresh)
+		history.Observe(now, versions, isFresh)
 	}
 }
 
