Stream origins: unknown streams go on by evidence newer than they are

Cause: a resumption of unknown origin was decided on what this daemon's list had shown for the last 15 s. That is older than the question, and gone with the process.

Now the store keeps, for each service, the versions that may have begun a stream in progress (hawthornstream-versions; platform/versionrecord.go). Daemons that watch the list add a version when it is listed, and take one out after no server of it was listed for 60 s in an unbroken view, with the list read again, by conditional writes. An unknown resumption is decided on the record and the list as both are read after it arrived; all that arrive before a read begins share it. It goes on if these and what this daemon knows name one version, and is refused if they name several, the store doesn't answer in time, the record is missing or not confirmed since the store was restored. In a quiet fleet nothing is read.

A stream of unknown origin that goes on is recorded at its next event. Counters: stream_origin_doubts, version_evidence_reads, version_record_changes; events: stream-versions-recorded, -unrecorded, -unread, and "doubt" in stream-resumption.

Tests changed: TestSingleVersionCountsFromItsLastDoubt goes with VersionHistory, which it tested; TestRecordFollowsTheList has its cases (another version, gap, list not fresh, replaced) for the view that replaces it. The cases of TestStreamOfUnknownOriginIsResumedOnlyAtTheSingleVersion that gave a period give the evidence now. TestResumptionOfUnknownStreamIsAdmittedLikeNewCall has a fake store in place of the history. The versioned test server no longer counts a stream that it declined as begun there.

--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -23,6 +23,9 @@
 	call         *ports.Call
 	work         core.Work
 	waitingSince time.Time
+	// originWait is how long this daemon took to find where a resumed stream began. It
+	// does not count against the call.
+	originWait time.Duration
 	// causes are what of the call may end servers, the whole call first.
 	causes []quarantine.CauseHash
 	// replaces says that the call may take the place of a run that has not ended.
@@ -67,7 +70,9 @@
 			return nil, refusal
 		}
 		w.work.SoftwareVersion, w.work.Resumes = decision.SoftwareVersion, decision.IsKnownStream()
-		now = time.Now()
+		w.originWait = time.Since(now)
+		now = now.Add(w.originWait)
+		w.waitingSince = now
 	}
 	m.mu.Lock()
 	if w.work.ForEngine && len(call.FailedServers) == 0 {
@@ -204,7 +209,7 @@
 func (m *Manager) admissionTerms(now time.Time, w *waiter) core.AdmissionTerms {
 	overuse := m.overuse(now, w)
 	return core.AdmissionTerms{
-		Waited: now.Sub(w.call.Arrived), Overuse: overuse,
+		Waited: now.Sub(w.call.Arrived) - w.originWait, Overuse: overuse,
 		AlwaysAdmit: len(w.call.FailedServers) > 0 || w.work.Resumes,
 		Capped:      w.work.ForEngine && overuse > 0 && m.shares.IsCapped(now, w.call.Workspace, m.shareTarget),
 	}
@@ -308,7 +313,7 @@
 	if pool == nil {
 		return noServerRefusal("the service is gone from the configuration")
 	}
-	choice, ok := pool.Choose(now, &w.work, core.AdmissionTerms{Waited: now.Sub(w.call.Arrived)})
+	choice, ok := pool.Choose(now, &w.work, core.AdmissionTerms{Waited: now.Sub(w.call.Arrived) - w.originWait})
 	if free, found := pool.EarliestFree(now, w.work.InItsRegions()); choice.Server == nil && found && free.After(now) {
 		return noneFreeRefusal(now, w, pool, free)
 	}
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -60,6 +60,8 @@
 	Evacuations ports.EvacuationFeed `optional:"true"`
 	// Handover may be missing: no connections are handed over then.
 	Handover ports.HandoverOffers `optional:"true"`
+	// VersionRecords may be missing: no stream of unknown origin goes on then.
+	VersionRecords ports.VersionRecords `optional:"true"`
 }
 
 // Manager implements ports.SlotBroker and ports.ServerNotices. It is safe for concurrent use.
@@ -68,7 +70,13 @@
 	limiter          *logging.Limiter
 	exclusionCounter *metrics.CounterVec
 	// resumptionCounter counts the streams that callers resume.
-	resumptionCounter     *metrics.CounterVec
+	resumptionCounter *metrics.CounterVec
+	// originDoubtCounter counts the streams whose origin stays unknown, by the reason,
+	// evidenceCounter the reads of evidence about them, and versionRecordCounter the
+	// changes of version records.
+	originDoubtCounter    *metrics.CounterVec
+	evidenceCounter       *metrics.CounterVec
+	versionRecordCounter  *metrics.CounterVec
 	leavingCounter        *metrics.CounterVec
 	pushbackCounter       *metrics.CounterVec
 	limitCounter          *metrics.CounterVec
@@ -87,6 +95,7 @@
 	evacuations           *evacuationExchange
 	evacuationCounter     *metrics.CounterVec
 	origins               *originExchange
+	versions              *versionExchange
 	changeSignal          chan struct{}
 	pauseSignal           chan struct{}
 	// limitedServers is the number of servers that name a limit, for RecordLimit.
@@ -104,12 +113,11 @@
 	// knownRegions are the regions of the settings and of all VMs so far.
 	knownRegions map[ports.Region]bool
 	// evacuated are the failure domains whose servers get no calls.
-	evacuated        core.EvacuatedDomains
-	pools            map[ports.ServiceName]*core.Pool
-	versionHistories map[ports.ServiceName]*streamorigin.VersionHistory
-	versionViews     map[ports.ServiceName]*streamorigin.VersionView
-	notices          *core.Notices
-	limitSharing     *core.LimitSharing
+	evacuated    core.EvacuatedDomains
+	pools        map[ports.ServiceName]*core.Pool
+	versionViews map[ports.ServiceName]*streamorigin.VersionView
+	notices      *core.Notices
+	limitSharing *core.LimitSharing
 	// capacity is what the engines can do now, in tokens per second; zero for unknown.
 	capacity           float64
 	shares             *core.ShareTracker
@@ -132,6 +140,9 @@
 		limiter:               logging.NewLimiter(p.Logger),
 		exclusionCounter:      metrics.NewCounterVec(scope, "servers_excluded", "service", "fault"),
 		resumptionCounter:     metrics.NewCounterVec(scope, "stream_resumptions", "service", "source", "reason"),
+		originDoubtCounter:    metrics.NewCounterVec(scope, "stream_origin_doubts", "service", "doubt"),
+		evidenceCounter:       metrics.NewCounterVec(scope, "version_evidence_reads", "result"),
+		versionRecordCounter:  metrics.NewCounterVec(scope, "version_record_changes", "service", "result"),
 		leavingCounter:        metrics.NewCounterVec(scope, "servers_leaving", "service"),
 		pushbackCounter:       metrics.NewCounterVec(scope, "server_pushbacks", "service"),
 		limitCounter:          metrics.NewCounterVec(scope, "server_limit_changes", "service", "change"),
@@ -150,13 +161,13 @@
 		evacuations:           newEvacuationExchange(p.Evacuations),
 		evacuationCounter:     metrics.NewCounterVec(scope, "evacuations", "domain", "change"),
 		origins:               newOriginExchange(p.Directory, p.Transport),
+		versions:              newVersionExchange(p.VersionRecords),
 		changeSignal:          make(chan struct{}, 1),
 		pauseSignal:           make(chan struct{}, 1),
 		stop:                  make(chan struct{}),
 		document:              &configuration.Document{},
 		knownRegions:          regionsInSettings(p.Settings),
 		pools:                 make(map[ports.ServiceName]*core.Pool),
-		versionHistories:      make(map[ports.ServiceName]*streamorigin.VersionHistory),
 		versionViews:          make(map[ports.ServiceName]*streamorigin.VersionView),
 		notices:               core.NewNotices(),
 		limitSharing:          core.NewLimitSharing(time.Now(), p.Directory.Self()),
@@ -180,6 +191,10 @@
 func (m *Manager) Run() {
 	m.loops.Go(m.runLoop)
 	m.loops.Go(func() { m.origins.run(m.stop) })
+	if m.versions.records != nil {
+		m.loops.Go(func() { m.versions.run(m.directory, m.applyEvidence) })
+		m.loops.Go(m.keepVersionRecords)
+	}
 }
 
 // Stop refuses the waiting calls and waits for the loop to end. It may be
@@ -194,6 +209,7 @@
 		m.waiters = nil
 		m.mu.Unlock()
 		close(m.stop)
+		m.versions.stop()
 	})
 	m.loops.Wait()
 }
--- a/internal/app/dispatch/resumption.go
+++ b/internal/app/dispatch/resumption.go
@@ -25,15 +25,11 @@
 	if call.Resumes != "" {
 		evidence.Origin, evidence.Source = m.origins.lookUp(ctx, call.Resumes, time.Until(call.Deadline))
 	}
-	now := time.Now()
-	m.mu.Lock()
-	if history, ok := m.versionHistories[call.Service]; ok {
-		evidence.SingleVersion, evidence.SingleVersionFor = history.SingleVersion(now)
+	if evidence.Source == streamorigin.SourceUnknown {
+		evidence.Versions = m.versionEvidence(ctx, call)
 	}
-	several := m.severalVersions(now, call.Service)
-	m.mu.Unlock()
 	decision := streamorigin.Decide(evidence)
-	m.recordResumption(call, decision, several)
+	m.recordResumption(call, decision)
 	switch decision.Reason {
 	case "":
 		return decision, nil
@@ -45,45 +41,35 @@
 }
 
 // recordResumption counts and logs the decision on a stream that its caller resumes.
-func (m *Manager) recordResumption(call *ports.Call, decision streamorigin.Decision, severalVersions bool) {
+func (m *Manager) recordResumption(call *ports.Call, decision streamorigin.Decision) {
 	m.resumptionCounter.Inc(string(call.Service), string(decision.Source), string(decision.Reason))
-	if !m.limiter.Allow(eventResumption, string(decision.Source)) {
+	if decision.Doubt != "" {
+		m.originDoubtCounter.Inc(string(call.Service), string(decision.Doubt))
+	}
+	if !m.limiter.Allow(eventResumption, string(decision.Source)+string(decision.Doubt)) {
 		return
 	}
 	m.logger.Info().Str("event", eventResumption).Str("request", string(call.ID)).
 		Str("resumes", string(call.Resumes)).Int("resumesAfter", call.LastEventID).
 		Str("service", string(call.Service)).Str("softwareVersion", decision.SoftwareVersion).
 		Str("source", string(decision.Source)).Str("reason", string(decision.Reason)).
-		Bool("severalVersions", severalVersions).Msg("")
-}
-
-// observeVersions records which software versions the list of servers shows now. The
-// caller holds the mutex.
-func (m *Manager) observeVersions(now time.Time, isFresh bool) {
-	era := m.listDigest().Era
-	for service, pool := range m.pools {
-		view, ok := m.versionViews[service]
-		if !ok {
-			view = streamorigin.NewVersionView()
-			m.versionViews[service] = view
-		}
-		versions := pool.SoftwareVersions()
-		view.Observe(now, streamorigin.ListObservation{Versions: versions, Era: era, Fresh: isFresh})
-		history, ok := m.versionHistories[service]
-		if !ok {
-			history = &streamorigin.VersionHistory{}
-			m.versionHistories[service] = history
-		}
-		history.Observe(now, versions, isFresh)
-	}
+		Str("doubt", string(decision.Doubt)).Msg("")
 }
 
-// recordFirstEvent records where a stream began, if its caller may resume it.
+// recordFirstEvent records where a stream began, if its caller may resume it. A stream of
+// unknown origin that goes on has the version of all streams in progress.
 func (m *Manager) recordFirstEvent(now time.Time, call *ports.Call, server ports.VM) {
-	if !call.Resumable || call.IsResumption() || server.SoftwareVersion == "" {
+	if !call.Resumable || server.SoftwareVersion == "" {
 		return
 	}
-	m.origins.recordFirstEvent(now, call.ID, streamorigin.Origin{
+	first := call.ID
+	if call.IsResumption() {
+		first = call.Resumes
+		if _, known := m.origins.lookUpOwn(now, streamorigin.KeyOf(first)); known || first == "" {
+			return
+		}
+	}
+	m.origins.recordFirstEvent(now, first, streamorigin.Origin{
 		Service: call.Service, SoftwareVersion: server.SoftwareVersion,
 	}, m.regionsOf(call))
 }
--- a/internal/app/dispatch/resumption_test.go
+++ b/internal/app/dispatch/resumption_test.go
@@ -108,15 +108,8 @@
 
 // A caller names streams that never began, to pass admission with new calls.
 func TestResumptionOfUnknownStreamIsAdmittedLikeNewCall(t *testing.T) {
-	servers := []ports.VM{{Name: "e1", Service: "llm", Domain: "z1", Slots: 1, SoftwareVersion: "v1"}}
-	m := newTestManager(t, servers...)
-	m.mu.Lock()
-	history := &streamorigin.VersionHistory{}
-	for age := streamorigin.MinSingleVersionPeriod; age >= 0; age -= time.Second {
-		history.Observe(time.Now().Add(-age), []string{"v1"}, true)
-	}
-	m.versionHistories["llm"] = history
-	m.mu.Unlock()
+	records := newFakeVersionRecords("v1")
+	m := newRecordingManager(t, records, ports.VM{Name: "e1", Service: "llm", Domain: "z1", Slots: 1, SoftwareVersion: "v1"})
 	takeOnlySlot(t, m)
 	_, err := m.Acquire(context.Background(), newResumption("again", "never-began"))
 	if refusal := mustBeRefusal(t, err); refusal.Reason != outcome.ReasonQueueFull {
--- a/internal/core/streamorigin/record.go
+++ b/internal/core/streamorigin/record.go
@@ -13,15 +13,17 @@
 	// Versions are the software versions that may have begun a stream in progress, in
 	// ascending order.
 	Versions []string
-	// Era is the era of the store in which the versions were complete. A store that was
-	// restored from a copy begins a new era and may lack a version that was added after
-	// the copy.
-	Era uint64
+	// IsComplete is true if no other version was possible in Era of the store. A store that
+	// was restored from a copy begins a new era and may lack a version that was added
+	// after the copy.
+	IsComplete bool
+	Era        uint64
 }
 
 // equal compares what two records tell.
 func (r Record) equal(other Record) bool {
-	return r.Found == other.Found && r.Era == other.Era && slices.Equal(r.Versions, other.Versions)
+	return r.Found == other.Found && r.IsComplete == other.IsComplete && r.Era == other.Era &&
+		slices.Equal(r.Versions, other.Versions)
 }
 
 // RecordRead records what the store holds, as it was read or written now in an era.
@@ -36,24 +38,20 @@
 }
 
 // Update returns what the record has to be changed to, and whether it has to be changed.
-// drops is true if the change takes the record's word for more than it had: it takes a
-// version out or confirms the record. The list has to be read again before that.
-func (v *VersionView) Update(now time.Time, stored Record) (next Record, changes, drops bool) {
+// rulesOut is true if the change rules out versions that were possible before it: the list
+// has to be read again before that.
+func (v *VersionView) Update(now time.Time, stored Record) (next Record, changes, rulesOut bool) {
 	next = v.next(now, stored)
-	drops = stored.Found && next.Era != stored.Era ||
+	rulesOut = stored.Found && (next.IsComplete != stored.IsComplete || next.Era != stored.Era) ||
 		slices.ContainsFunc(stored.Versions, func(version string) bool { return !slices.Contains(next.Versions, version) })
-	return next, !next.equal(stored), drops
+	return next, !next.equal(stored), rulesOut
 }
 
 // next returns the record as this daemon would have it.
 func (v *VersionView) next(now time.Time, stored Record) Record {
 	versions := v.Lately(now)
-	if !stored.Found {
-		if len(versions) == 0 {
-			return stored
-		}
-		// Without a record no daemon has listed a server of the service before.
-		return Record{Found: true, Versions: versions, Era: v.era}
+	if !stored.Found && len(versions) == 0 {
+		return stored
 	}
 	hasWatched := v.watchedFor(now) >= Lifetime
 	if !hasWatched {
@@ -61,9 +59,12 @@
 		slices.Sort(versions)
 		versions = slices.Compact(versions)
 	}
-	era := stored.Era
-	if hasWatched && now.Sub(v.eraSince) >= eraSettleTime {
-		era = max(era, v.era)
+	next := Record{Found: true, Versions: versions, IsComplete: stored.IsComplete, Era: stored.Era}
+	// In a store that was not restored meanwhile, no daemon has listed a server of a
+	// service without a record.
+	isFirst := !stored.Found && !v.eraChanged
+	if isFirst || hasWatched && now.Sub(v.eraSince) >= eraSettleTime && v.era >= stored.Era {
+		next.IsComplete, next.Era = true, v.era
 	}
-	return Record{Found: true, Versions: versions, Era: era}
+	return next
 }
--- a/internal/core/streamorigin/view.go
+++ b/internal/core/streamorigin/view.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// maxObservationGap is the longest time between two observations of a list of
+	// servers that leaves a view unbroken: the daemon may have been paused.
+	maxObservationGap = 5 * time.Second
 	// eraSettleTime is how long an era of the store must have lasted before a view that
 	// spans its beginning confirms a record. By then all daemons have noticed the era and
 	// added the versions that they know, and servers have written their entries again.
@@ -25,6 +28,8 @@
 	// era is that of the store which the list is from.
 	era      uint64
 	eraSince time.Time
+	// eraChanged is true if the store was restored since this daemon first observed it.
+	eraChanged bool
 	// record is the record as this daemon read or wrote it last. It is not known after
 	// anything that another daemon may have changed it for unnoticed.
 	record        Record
@@ -50,7 +55,7 @@
 // Observe records what the list shows now.
 func (v *VersionView) Observe(now time.Time, list ListObservation) {
 	isUnbroken := list.Fresh && !v.watchedSince.IsZero() && now.Sub(v.observedAt) <= maxObservationGap
-	if !isUnbroken || list.Era != v.era {
+	if list.Fresh && !isUnbroken || list.Era != v.era {
 		v.isRecordKnown = false
 	}
 	switch {
@@ -59,8 +64,8 @@
 	case !isUnbroken:
 		v.watchedSince = now
 	}
-	if list.Era != v.era {
-		v.era, v.eraSince = list.Era, now
+	if list.Era != v.era || v.eraSince.IsZero() {
+		v.era, v.eraSince, v.eraChanged = list.Era, now, !v.eraSince.IsZero()
 	}
 	for _, version := range list.Versions {
 		if at, listed := v.listedAt[version]; !listed || !at.Equal(v.observedAt) {
