Stream origins: checkpoints in the store outlive all daemons

What callers saw: after all daemons were killed at once while servers of two software versions served, every stream that they took up again was refused as unknown (503, stream-origin-unknown) until their deadline. None went on at another version.

Cause: the origin of a stream was kept in the memory of three daemons alone.

The new TestStreamsGoOnAtTheirVersionAfterKillOfAllDaemons failed in all three cases with "0 of 12 streams went on".

An attempt's origin never changes, so that an old object can lack a stream but not name another version.

Tests: the case "after the kill of all daemons" of TestResumedStreamStaysAtItsSoftwareVersion expected a refusal of streams that are known now. Its body is unchanged in TestStreamsWithoutRecordAreRefusedAfterKillOfAllDaemons, where the records are removed or damaged first. The stand-in of the store answers 404 to a PUT of an object that is missing, and deletes.

--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -60,6 +60,8 @@
 	Evacuations ports.EvacuationFeed `optional:"true"`
 	// Handover may be missing: no connections are handed over then.
 	Handover ports.HandoverOffers `optional:"true"`
+	// StreamOrigins may be missing: the origins of streams then end with the daemons.
+	StreamOrigins ports.StreamOriginStore `optional:"true"`
 }
 
 // Manager implements ports.SlotBroker and ports.ServerNotices. It is safe for concurrent use.
@@ -87,6 +89,7 @@
 	evacuations           *evacuationExchange
 	evacuationCounter     *metrics.CounterVec
 	origins               *originExchange
+	checkpoints           *originCheckpoints
 	changeSignal          chan struct{}
 	pauseSignal           chan struct{}
 	// limitedServers is the number of servers that name a limit, for RecordLimit.
@@ -148,7 +151,6 @@
 		lists:                 newListExchange(p.List),
 		evacuations:           newEvacuationExchange(p.Evacuations),
 		evacuationCounter:     metrics.NewCounterVec(scope, "evacuations", "domain", "change"),
-		origins:               newOriginExchange(p.Directory, p.Transport),
 		changeSignal:          make(chan struct{}, 1),
 		pauseSignal:           make(chan struct{}, 1),
 		stop:                  make(chan struct{}),
@@ -162,6 +164,8 @@
 		quarantine:            quarantine.NewTable(),
 		peerReports:           make(map[core.Source]*core.PeerReports),
 	}
+	m.checkpoints = newOriginCheckpoints(p.StreamOrigins, p.Directory, p.Logger, m.limiter, scope)
+	m.origins = newOriginExchange(p.Directory, p.Transport, m.checkpoints)
 	p.Transport.Handle(ports.KindLoad,
 		func() ports.Message { return &ports.LoadMessage{} },
 		func(from ports.DaemonID, message ports.Message) {
@@ -178,6 +182,7 @@
 func (m *Manager) Run() {
 	m.loops.Go(m.runLoop)
 	m.loops.Go(func() { m.origins.run(m.stop) })
+	m.loops.Go(func() { m.checkpoints.run(m.stop) })
 }
 
 // Stop refuses the waiting calls and waits for the loop to end. It may be
--- a/internal/app/dispatch/origins.go
+++ b/internal/app/dispatch/origins.go
@@ -26,8 +26,9 @@
 // daemons of their attempts, and asks for it. No other lock is taken while its mutex is
 // held.
 type originExchange struct {
-	directory ports.Directory
-	transport ports.PeerTransport
+	directory   ports.Directory
+	transport   ports.PeerTransport
+	checkpoints *originCheckpoints
 	// recorded is signalled when pending is no longer empty.
 	recorded chan struct{}
 
@@ -51,9 +52,11 @@
 	regions core.Regions
 }
 
-func newOriginExchange(directory ports.Directory, transport ports.PeerTransport) *originExchange {
+func newOriginExchange(
+	directory ports.Directory, transport ports.PeerTransport, checkpoints *originCheckpoints,
+) *originExchange {
 	o := &originExchange{
-		directory: directory, transport: transport, recorded: make(chan struct{}, 1),
+		directory: directory, transport: transport, checkpoints: checkpoints, recorded: make(chan struct{}, 1),
 		table:   streamorigin.NewTable(streamorigin.MaxEntries),
 		queries: make(map[streamorigin.AttemptKey][]chan *ports.StreamOriginAnswer),
 	}
@@ -161,6 +164,9 @@
 
 func (o *originExchange) handleQuery(now time.Time, from ports.DaemonID, query *ports.StreamOriginQuery) {
 	origin, known := o.lookUpOwn(now, streamorigin.AttemptKey(query.Attempt))
+	if !known {
+		origin, known = o.checkpoints.lookUp(now, streamorigin.AttemptKey(query.Attempt))
+	}
 	answer := &ports.StreamOriginAnswer{Attempt: query.Attempt}
 	if known {
 		answer.Service, answer.SoftwareVersion = origin.Service, origin.SoftwareVersion
@@ -188,8 +194,9 @@
 }
 
 // lookUp returns where the stream that an attempt began has its origin, and the source
-// of that: this daemon's own table or else a home of the attempt. It asks the daemons
-// that may be homes, and waits at most maxOriginWait for them.
+// of that: this daemon's own table, the checkpoints that it read at its start, or else a
+// home of the attempt. It asks the daemons that may be homes, and waits at most
+// maxOriginWait for them and for the checkpoints.
 func (o *originExchange) lookUp(
 	ctx context.Context, attempt ports.RequestID, timeLeft time.Duration,
 ) (streamorigin.Origin, streamorigin.Source) {
@@ -205,14 +212,24 @@
 	o.queries[key] = append(o.queries[key], answers)
 	o.mu.Unlock()
 	defer o.endQuery(key, answers)
+	if origin, known := o.checkpoints.lookUp(time.Now(), key); known {
+		return origin, streamorigin.SourceCheckpoint
+	}
 	for _, candidate := range candidates {
 		o.transport.Send(candidate, &ports.StreamOriginQuery{Attempt: uint64(key)})
 	}
 	timer := time.NewTimer(min(maxOriginWait, time.Duration(maxOriginWaitFraction*float64(timeLeft))))
 	defer timer.Stop()
-	for range candidates {
+	loaded := o.checkpoints.loaded
+	for waiting := len(candidates); waiting > 0 || loaded != nil; {
 		select {
+		case <-loaded:
+			loaded = nil
+			if origin, known := o.checkpoints.lookUp(time.Now(), key); known {
+				return origin, streamorigin.SourceCheckpoint
+			}
 		case answer := <-answers:
+			waiting--
 			if answer.Service != "" {
 				origin := streamorigin.Origin{Service: answer.Service, SoftwareVersion: answer.SoftwareVersion}
 				o.keep(key, origin)
--- a/internal/app/dispatch/resumption.go
+++ b/internal/app/dispatch/resumption.go
@@ -64,18 +64,26 @@
 			history = &streamorigin.VersionHistory{}
 			m.versionHistories[service] = history
 		}
-		history.Observe(now, pool.SoftwareVersions(), isFresh)
+		versions := pool.SoftwareVersions()
+		history.Observe(now, versions, isFresh)
+		m.checkpoints.observeVersions(now, service, versions)
 	}
 }
 
-// recordFirstEvent records where a stream began, if its caller may resume it.
+// recordFirstEvent records where a stream began or goes on, if its caller may resume it.
 func (m *Manager) recordFirstEvent(now time.Time, call *ports.Call, server ports.VM) {
-	if !call.Resumable || call.IsResumption() || server.SoftwareVersion == "" {
+	if !call.Resumable || server.SoftwareVersion == "" {
 		return
 	}
-	m.origins.recordFirstEvent(now, call.ID, streamorigin.Origin{
-		Service: call.Service, SoftwareVersion: server.SoftwareVersion,
-	}, m.regionsOf(call))
+	origin := streamorigin.Origin{Service: call.Service, SoftwareVersion: server.SoftwareVersion}
+	regions := m.regionsOf(call)
+	if !regions.IsBound() {
+		// The records of calls that are bound to regions stay there.
+		m.checkpoints.recordEvent(now, call, origin)
+	}
+	if !call.IsResumption() {
+		m.origins.recordFirstEvent(now, call.ID, origin, regions)
+	}
 }
 
 func versionGoneRefusal(detail string) *outcome.Refusal {
--- a/internal/app/dispatch/slot.go
+++ b/internal/app/dispatch/slot.go
@@ -59,6 +59,9 @@
 
 // Release implements ports.Slot.
 func (s *slot) Release(report ports.RunReport) {
+	if s.firstByteSeen.Load() {
+		s.manager.checkpoints.recordEnd(time.Now(), s.call, report.Reason == "")
+	}
 	s.manager.recordHealthChange(s.server, s.release(report), report.Fault)
 }
 
--- a/internal/core/streamorigin/decide.go
+++ b/internal/core/streamorigin/decide.go
@@ -16,6 +16,8 @@
 	SourceOwn Source = "own"
 	// SourceHome means that a home daemon of the attempt knows the stream.
 	SourceHome Source = "home"
+	// SourceCheckpoint means that the checkpoint of a daemon in the store had the stream.
+	SourceCheckpoint Source = "checkpoint"
 	// SourceSingleVersion means that no stream in progress can be of another version.
 	SourceSingleVersion Source = "single-version"
 	// SourceUnknown means that the version is not known.
@@ -26,7 +28,8 @@
 type Evidence struct {
 	// Service is the service that the call goes to.
 	Service ports.ServiceName
-	// Origin is where the stream began, if Source is SourceOwn or SourceHome.
+	// Origin is where the stream began, if Source is SourceOwn, SourceHome or
+	// SourceCheckpoint.
 	Origin Origin
 	Source Source
 	// SingleVersion is the software version that the list of the service's servers has
@@ -47,14 +50,18 @@
 
 // IsKnownStream reports whether a daemon has recorded that the stream began.
 func (d Decision) IsKnownStream() bool {
-	return d.Source == SourceOwn || d.Source == SourceHome
+	return isRecorded(d.Source)
+}
+
+func isRecorded(source Source) bool {
+	return source == SourceOwn || source == SourceHome || source == SourceCheckpoint
 }
 
 // Decide returns where a stream that its caller resumes may go on. If its origin is not
 // known, it may go on only where no other software version can have begun it.
 func Decide(e Evidence) Decision {
 	switch {
-	case e.Source == SourceOwn || e.Source == SourceHome:
+	case isRecorded(e.Source):
 		if e.Origin.Service != e.Service {
 			return Decision{Source: e.Source, Reason: outcome.ReasonSoftwareVersionGone}
 		}
