Stream origins: few daemons write the checkpoints of a large fleet

What callers would see: in a large fleet fewer than half of the streams in progress go on after all daemons were killed while two versions serve.

Cause: each daemon wrote its own checkpoint, so that the bound of 50 writes a second for the fleet made the interval longer than most streams: 1.2 s at 59 daemons, 3.9 s at 195.

Change: above 12 daemons, 12 of them write, as many in each failure domain by rendezvous hash. The others send them all their streams each 250 ms, in their own failure domain, so that a lost message does no harm (StreamOriginShare, kind 43).

The bound of the test is 0.5 at every size now.

--- a/internal/adapters/peer/meter.go
+++ b/internal/adapters/peer/meter.go
@@ -60,6 +60,7 @@
 	ports.KindStreamOriginRecords: "stream-origin-records",
 	ports.KindStreamOriginQuery:   "stream-origin-query",
 	ports.KindStreamOriginAnswer:  "stream-origin-answer",
+	ports.KindStreamOriginShare:   "stream-origin-share",
 }
 
 func kindName(kind ports.MessageKind) string {
--- a/internal/app/dispatch/checkpoints.go
+++ b/internal/app/dispatch/checkpoints.go
@@ -11,6 +11,7 @@
 
 	"hawthornstream/internal/adapters/logging"
 	"hawthornstream/internal/adapters/metrics"
+	"hawthornstream/internal/core/placement"
 	"hawthornstream/internal/core/streamorigin"
 	"hawthornstream/internal/pause"
 	"hawthornstream/internal/ports"
@@ -21,6 +22,9 @@
 	// of the checkpoints.
 	minCheckpointReadDelay = 100 * time.Millisecond
 	maxCheckpointReadDelay = time.Second
+	// checkpointStartupDelay is the time from the read to the first checkpoint. A daemon that
+	// knows few others yet would take itself for a writer.
+	checkpointStartupDelay = time.Second
 )
 
 // Log events of the checkpoints.
@@ -38,6 +42,7 @@
 type originCheckpoints struct {
 	store     ports.StreamOriginStore
 	directory ports.Directory
+	transport ports.PeerTransport
 	logger    *log.Logger
 	limiter   *logging.Limiter
 	scope     tally.Scope
@@ -52,18 +57,18 @@
 	restored *streamorigin.Table
 	versions map[ports.ServiceName]*streamorigin.RecentVersions
 
-	// sweeper, failures and daemonsRead belong to run.
-	sweeper     streamorigin.Sweeper
-	failures    int
-	daemonsRead int
+	// sweeper and failures belong to run.
+	sweeper  streamorigin.Sweeper
+	failures int
 }
 
 // newOriginCheckpoints returns checkpoints in the store; without one, none are kept.
 func newOriginCheckpoints(
-	store ports.StreamOriginStore, directory ports.Directory, logger *log.Logger, limiter *logging.Limiter, scope tally.Scope,
+	store ports.StreamOriginStore, directory ports.Directory, transport ports.PeerTransport, logger *log.Logger,
+	limiter *logging.Limiter, scope tally.Scope,
 ) *originCheckpoints {
 	c := &originCheckpoints{
-		store: store, directory: directory, logger: logger, limiter: limiter, scope: scope,
+		store: store, directory: directory, transport: transport, logger: logger, limiter: limiter, scope: scope,
 		counter:  metrics.NewCounterVec(scope, "stream_origin_checkpoints", "result"),
 		readBack: scope.Counter("stream_origins_read_back"),
 		loaded:   make(chan struct{}),
@@ -72,7 +77,13 @@
 	}
 	if store == nil {
 		close(c.loaded)
+		return c
 	}
+	transport.Handle(ports.KindStreamOriginShare,
+		func() ports.Message { return &ports.StreamOriginShare{} },
+		func(from ports.DaemonID, message ports.Message) {
+			c.handleShare(time.Now(), from, message.(*ports.StreamOriginShare))
+		})
 	return c
 }
 
@@ -90,13 +101,14 @@
 		cancel()
 	}()
 	c.read(ctx)
+	pause.For(ctx, withJitter(checkpointStartupDelay))
 	for ctx.Err() == nil {
-		daemons := max(c.daemonsRead, len(c.directory.Daemons()))
-		pause.For(ctx, withJitter(streamorigin.CheckpointInterval(daemons, c.failures)))
+		writer, writers := c.writer()
+		c.update(ctx, time.Now(), writer)
+		pause.For(ctx, withJitter(streamorigin.CheckpointInterval(writers, c.failures)))
 		if ctx.Err() != nil {
 			return
 		}
-		c.update(ctx, time.Now())
 		c.sweep(ctx, time.Now())
 	}
 }
@@ -134,19 +146,18 @@
 	var own int
 	c.table.ObserveEra(era)
 	for _, checkpoint := range checkpoints {
-		records := recordsOf(checkpoint.Groups)
-		for _, r := range records {
+		entries := entriesOf(checkpoint.Groups)
+		for _, r := range entries {
 			c.restored.Record(now, r.Attempt, r.Origin)
 			c.versionsLocked(r.Origin.Service).Observe(now, r.Origin.SoftwareVersion)
 		}
 		if checkpoint.Daemon == self {
-			c.table.Restore(now, records)
-			own = len(records)
+			c.table.Restore(now, entries)
+			own = len(entries)
 		}
 	}
 	total := c.restored.Len()
 	c.mu.Unlock()
-	c.daemonsRead = len(checkpoints)
 	c.sweeper.Sweep(now, storedCheckpoints(checkpoints), nil)
 	c.readBack.Inc(int64(total))
 	c.counter.Inc("read")
@@ -154,18 +165,28 @@
 		Int("own", own).Float64("took", took.Seconds()).Msg("")
 }
 
-// update writes or removes this daemon's checkpoint if that is due.
-func (c *originCheckpoints) update(ctx context.Context, now time.Time) {
+// writer returns the daemon that writes this daemon's checkpoint, and the number of writers.
+func (c *originCheckpoints) writer() (ports.DaemonID, int) {
+	daemons := c.directory.Daemons()
+	return streamorigin.Writer(c.directory.Self(), placement.NewRendezvousHash(daemons), daemons)
+}
+
+// update writes or removes this daemon's checkpoint, or sends it to its writer, if that is
+// due.
+func (c *originCheckpoints) update(ctx context.Context, now time.Time, writer ports.DaemonID) {
 	c.mu.Lock()
 	c.table.ObserveEra(c.store.Era())
-	action, records := c.table.Next(now, c.severalLocked(now))
+	action, entries := c.table.Next(now, c.severalLocked(now), writer == c.directory.Self().Name)
 	c.mu.Unlock()
 	switch action {
+	case streamorigin.CheckpointShare:
+		c.counter.Inc("shared")
+		c.transport.Send(writer, &ports.StreamOriginShare{Groups: groupsOf(entries)})
 	case streamorigin.CheckpointWrite:
-		era, err := c.store.Write(ctx, groupsOf(records))
-		if c.recordResult(ctx, eventCheckpointWritten, "written", len(records), err) {
+		era, err := c.store.Write(ctx, groupsOf(entries))
+		if c.recordResult(ctx, eventCheckpointWritten, "written", len(entries), err) {
 			c.mu.Lock()
-			c.table.RecordWritten(era, records)
+			c.table.RecordWritten(era, entries)
 			c.mu.Unlock()
 		}
 	case streamorigin.CheckpointRemove:
@@ -196,6 +217,13 @@
 	return true
 }
 
+// handleShare takes over the streams of another daemon.
+func (c *originCheckpoints) handleShare(now time.Time, from ports.DaemonID, message *ports.StreamOriginShare) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.AddShare(now, from, entriesOf(message.Groups))
+}
+
 // sweep removes the checkpoints of daemons that are gone, if that is due.
 func (c *originCheckpoints) sweep(ctx context.Context, now time.Time) {
 	c.mu.Lock()
@@ -220,6 +248,9 @@
 
 // observeVersions records the software versions of the servers of a service.
 func (c *originCheckpoints) observeVersions(now time.Time, service ports.ServiceName, versions []string) {
+	if c.store == nil {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.versionsLocked(service).Observe(now, versions...)
@@ -294,12 +325,12 @@
 	}
 }
 
-// groupsOf groups the records by their origin; the order of the records stays within each
+// groupsOf groups the entries by their origin; the order of the entries stays within each
 // group.
-func groupsOf(records []streamorigin.CheckpointEntry) []ports.StreamOriginGroup {
+func groupsOf(entries []streamorigin.CheckpointEntry) []ports.StreamOriginGroup {
 	var groups []ports.StreamOriginGroup
 	index := make(map[streamorigin.Origin]int)
-	for _, r := range records {
+	for _, r := range entries {
 		at, ok := index[r.Origin]
 		if !ok {
 			at = len(groups)
@@ -311,15 +342,15 @@
 	return groups
 }
 
-func recordsOf(groups []ports.StreamOriginGroup) []streamorigin.CheckpointEntry {
-	var records []streamorigin.CheckpointEntry
+func entriesOf(groups []ports.StreamOriginGroup) []streamorigin.CheckpointEntry {
+	var entries []streamorigin.CheckpointEntry
 	for _, group := range groups {
 		origin := streamorigin.Origin{Service: group.Service, SoftwareVersion: group.SoftwareVersion}
 		for _, attempt := range group.Attempts {
-			records = append(records, streamorigin.CheckpointEntry{Attempt: streamorigin.AttemptKey(attempt), Origin: origin})
+			entries = append(entries, streamorigin.CheckpointEntry{Attempt: streamorigin.AttemptKey(attempt), Origin: origin})
 		}
 	}
-	return records
+	return entries
 }
 
 func storedCheckpoints(checkpoints []ports.StreamOriginCheckpoint) []streamorigin.StoredCheckpoint {
--- a/internal/app/dispatch/checkpoints_test.go
+++ b/internal/app/dispatch/checkpoints_test.go
@@ -81,7 +81,7 @@
 
 // useStore gives the manager, whose loops don't run, another process's store.
 func useStore(m *Manager, store *fakeOriginStore) *originCheckpoints {
-	c := newOriginCheckpoints(store, m.directory, m.logger, m.limiter, m.checkpoints.scope)
+	c := newOriginCheckpoints(store, m.directory, m.transport, m.logger, m.limiter, m.checkpoints.scope)
 	m.checkpoints, m.origins.checkpoints = c, c
 	return c
 }
@@ -111,7 +111,7 @@
 			t.Fatalf("%s: got %v, %v", attempt, slot, err)
 		}
 	}
-	c.update(context.Background(), time.Now())
+	c.update(context.Background(), time.Now(), store.self)
 	want := []uint64{keyOf("first"), keyOf("second")}
 	slices.Sort(want)
 	if got := store.stored(self); !slices.Equal(got, want) {
@@ -182,11 +182,11 @@
 	}
 	slot.Progress(1)
 	store.failures = 1
-	c.update(context.Background(), time.Now())
+	c.update(context.Background(), time.Now(), store.self)
 	if got := store.stored(store.self); len(got) > 0 || c.failures != 1 {
 		t.Errorf("got %v with %d failures", got, c.failures)
 	}
-	c.update(context.Background(), time.Now())
+	c.update(context.Background(), time.Now(), store.self)
 	want := []uint64{keyOf("broken"), keyOf("running")}
 	slices.Sort(want)
 	if got := store.stored(store.self); !slices.Equal(got, want) {
@@ -194,12 +194,44 @@
 	}
 	run(newResumption("again", "broken"), "")
 	m.checkpoints.recordEvent(time.Now(), newStream("next"), streamorigin.Origin{Service: "llm", SoftwareVersion: "v1"})
-	c.update(context.Background(), time.Now())
+	c.update(context.Background(), time.Now(), store.self)
 	if got := store.stored(store.self); slices.Contains(got, keyOf("broken")) || len(got) != 2 {
 		t.Errorf("the store holds %v after the broken stream was completed", got)
 	}
 }
 
+// In a large fleet, the streams of all daemons reach the store through a few of them, without
+// a message to another failure domain.
+func TestFewDaemonsWriteCheckpointsOfLargeFleet(t *testing.T) {
+	f, store := newExchangeFleet(t, 3, 20), newFakeOriginStore("")
+	ctx, now := context.Background(), time.Now()
+	for i, daemon := range f.daemons {
+		own := *store
+		own.self = daemon.Name
+		c := useStore(f.managers[daemon.Name], &own)
+		c.read(ctx)
+		c.observeVersions(now, "llm", []string{"v1", "v2"})
+		c.recordEvent(now, newStream(fmt.Sprint("s", i)), streamorigin.Origin{Service: "llm", SoftwareVersion: "v1"})
+	}
+	for range 2 {
+		for _, daemon := range f.daemons {
+			c := f.managers[daemon.Name].checkpoints
+			writer, _ := c.writer()
+			c.update(ctx, now, writer)
+		}
+	}
+	stored := make(map[uint64]bool)
+	for daemon := range store.checkpoints {
+		for _, attempt := range store.stored(daemon) {
+			stored[attempt] = true
+		}
+	}
+	if len(stored) != len(f.daemons) || len(store.checkpoints) > 12 || f.crossDomain > 0 {
+		t.Errorf("%d checkpoints hold %d of %d streams, %d messages left their domain",
+			len(store.checkpoints), len(stored), len(f.daemons), f.crossDomain)
+	}
+}
+
 // The VM of a daemon is replaced while several versions serve: its checkpoint is removed by
 // one of the others, and that of a daemon that is alive stays.
 func TestCheckpointOfReplacedDaemonIsRemoved(t *testing.T) {
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -164,7 +164,7 @@
 		quarantine:            quarantine.NewTable(),
 		peerReports:           make(map[core.Source]*core.PeerReports),
 	}
-	m.checkpoints = newOriginCheckpoints(p.StreamOrigins, p.Directory, p.Logger, m.limiter, scope)
+	m.checkpoints = newOriginCheckpoints(p.StreamOrigins, p.Directory, p.Transport, p.Logger, m.limiter, scope)
 	m.origins = newOriginExchange(p.Directory, p.Transport, m.checkpoints)
 	p.Transport.Handle(ports.KindLoad,
 		func() ports.Message { return &ports.LoadMessage{} },
--- a/internal/app/dispatch/peer_messages_fuzz_test.go
+++ b/internal/app/dispatch/peer_messages_fuzz_test.go
@@ -46,18 +46,21 @@
 		&ports.StreamOriginRecords{Groups: []ports.StreamOriginGroup{{Service: "gone", Attempts: []uint64{0, 1}}}},
 		&ports.StreamOriginQuery{},
 		&ports.StreamOriginAnswer{Attempt: math.MaxUint64},
+		&ports.StreamOriginShare{Groups: []ports.StreamOriginGroup{{Service: "gone", Attempts: []uint64{0, 0}}, {}}},
 	}
 }
 
 // newFuzzedMessage returns an empty message of the kind that a number stands for.
 func newFuzzedMessage(kind uint8) ports.Message {
-	switch kind % 4 {
+	switch kind % 5 {
 	case 0:
 		return &ports.LoadMessage{}
 	case 1:
 		return &ports.StreamOriginRecords{}
 	case 2:
 		return &ports.StreamOriginQuery{}
+	case 3:
+		return &ports.StreamOriginShare{}
 	default:
 		return &ports.StreamOriginAnswer{}
 	}
@@ -74,6 +77,9 @@
 		m.origins.handleQuery(time.Now(), "d2", message)
 	case *ports.StreamOriginAnswer:
 		m.origins.handleAnswer(message)
+	case *ports.StreamOriginShare:
+		m.checkpoints.handleShare(time.Now(), "d2", message)
+		m.checkpoints.table.Next(time.Now(), map[ports.ServiceName]bool{"gone": true}, true)
 	}
 }
 
@@ -85,7 +91,7 @@
 		if err != nil {
 			f.Fatal(err)
 		}
-		for kind := range uint8(4) {
+		for kind := range uint8(5) {
 			f.Add(kind, payload)
 		}
 	}
--- a/internal/core/streamorigin/checkpoint.go
+++ b/internal/core/streamorigin/checkpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -22,10 +23,10 @@
 	MaxCheckpointStreams = 1 << 13
 )
 
-// CheckpointInterval returns the time until a daemon's next checkpoint in a fleet of the
-// given size, after the given number of failed writes in a row.
-func CheckpointInterval(daemons, failures int) time.Duration {
-	interval := max(MinCheckpointInterval, time.Duration(daemons)*time.Second/maxCheckpointRate)
+// CheckpointInterval returns the time until a daemon's next checkpoint in a fleet with the
+// given number of writers, after the given number of failed writes in a row.
+func CheckpointInterval(writers, failures int) time.Duration {
+	interval := max(MinCheckpointInterval, time.Duration(writers)*time.Second/maxCheckpointRate)
 	return interval * time.Duration(min(1<<min(failures, 8), maxCheckpointBackoff))
 }
 
@@ -46,13 +47,20 @@
 	CheckpointWrite
 	// CheckpointRemove removes the checkpoint.
 	CheckpointRemove
+	// CheckpointShare sends the streams to the daemon's writer.
+	CheckpointShare
 )
 
 // Checkpoint holds the resumable streams of one daemon and decides what of them the
 // daemon's checkpoint in the store contains. Streams are included while they are in
-// progress, and for ResumptionPeriod after they broke. It is not safe for concurrent use.
+// progress, and for ResumptionPeriod after they broke. A writer's checkpoint also contains
+// the streams of the daemons that it writes for, for ResumptionPeriod after it last heard of
+// them. It is not safe for concurrent use.
 type Checkpoint struct {
 	streams map[AttemptKey]*checkpointStream
+	shares  map[ports.DaemonID]checkpointShare
+	// written are the streams that the checkpoint in the store contains.
+	written map[AttemptKey]bool
 	// stored is true if the store may hold a checkpoint of this daemon, and wasStored if it
 	// ever held one.
 	stored, wasStored bool
@@ -64,13 +72,20 @@
 	beganAt time.Time
 	// brokenAt is when the stream broke; zero while it is in progress.
 	brokenAt time.Time
-	// written is true if the checkpoint in the store contains the stream.
-	written bool
+}
+
+// checkpointShare are the streams of a daemon that this one writes for.
+type checkpointShare struct {
+	streams    map[AttemptKey]*checkpointStream
+	receivedAt time.Time
 }
 
 // NewCheckpoint returns a checkpoint without streams.
 func NewCheckpoint() *Checkpoint {
-	return &Checkpoint{streams: make(map[AttemptKey]*checkpointStream)}
+	return &Checkpoint{
+		streams: make(map[AttemptKey]*checkpointStream), shares: make(map[ports.DaemonID]checkpointShare),
+		written: make(map[AttemptKey]bool),
+	}
 }
 
 // Begin records that a stream has begun or goes on here.
@@ -96,15 +111,30 @@
 
 // Restore adds the streams in the checkpoint that an earlier process of this daemon has
 // left in the store: they broke when that process ended.
-func (c *Checkpoint) Restore(now time.Time, records []CheckpointEntry) {
+func (c *Checkpoint) Restore(now time.Time, entries []CheckpointEntry) {
 	c.stored, c.wasStored = true, true
-	for _, r := range records {
+	for _, r := range entries {
 		if _, ok := c.streams[r.Attempt]; !ok {
-			c.streams[r.Attempt] = &checkpointStream{origin: r.Origin, beganAt: now, brokenAt: now, written: true}
+			c.streams[r.Attempt] = &checkpointStream{origin: r.Origin, beganAt: now, brokenAt: now}
 		}
+		c.written[r.Attempt] = true
 	}
 }
 
+// AddShare replaces the streams of another daemon for which this one writes.
+func (c *Checkpoint) AddShare(now time.Time, from ports.DaemonID, entries []CheckpointEntry) {
+	earlier := c.shares[from].streams
+	share := checkpointShare{streams: make(map[AttemptKey]*checkpointStream, len(entries)), receivedAt: now}
+	for _, entry := range entries[:min(len(entries), MaxCheckpointStreams)] {
+		stream, known := earlier[entry.Attempt]
+		if !known {
+			stream = &checkpointStream{origin: entry.Origin, beganAt: now}
+		}
+		share.streams[entry.Attempt] = stream
+	}
+	c.shares[from] = share
+}
+
 // ObserveEra records the era of the store. The copy from which it was restored may lack
 // the checkpoint or hold one that was removed.
 func (c *Checkpoint) ObserveEra(era uint64) {
@@ -117,54 +147,67 @@
 		return
 	}
 	c.stored = c.wasStored
-	for _, s := range c.streams {
-		s.written = false
-	}
+	clear(c.written)
 }
 
-// Next returns what to do with the checkpoint in the store, and its content for a write:
-// the streams of the services that may have several software versions in progress, the
-// newest first. A write is due when the store lacks one of them. The checkpoint is removed
-// when there is no such service any more and its streams have ended.
-func (c *Checkpoint) Next(now time.Time, several map[ports.ServiceName]bool) (CheckpointAction, []CheckpointEntry) {
+// Next returns what to do with the checkpoint, and the streams for a write or a share: those
+// of the services that may have several software versions in progress, the newest first. A
+// write is due when the store lacks one of them. A daemon that is no writer shares them each
+// time, since messages may be lost. The checkpoint in the store is removed when its streams
+// have ended, and no service has several versions or another daemon writes.
+func (c *Checkpoint) Next(now time.Time, several map[ports.ServiceName]bool, isWriter bool) (CheckpointAction, []CheckpointEntry) {
 	c.Expire(now)
-	var included []AttemptKey
-	isNeeded, isDue := len(several) > 0, false
-	for key, s := range c.streams {
-		isNeeded = isNeeded || s.written
-		if several[s.origin.Service] {
-			included = append(included, key)
-			isDue = isDue || !s.written
+	included := make(map[AttemptKey]*checkpointStream)
+	isNeeded, isDue := isWriter && len(several) > 0, false
+	include := func(streams map[AttemptKey]*checkpointStream) {
+		for key, s := range streams {
+			isNeeded = isNeeded || c.written[key]
+			if several[s.origin.Service] {
+				included[key] = s
+				isDue = isDue || !c.written[key]
+			}
+		}
+	}
+	include(c.streams)
+	if isWriter {
+		for _, share := range c.shares {
+			include(share.streams)
 		}
 	}
 	switch {
 	case c.stored && !isNeeded:
 		return CheckpointRemove, nil
-	case !isDue:
-		return CheckpointKeep, nil
+	case isWriter && isDue:
+		return CheckpointWrite, newestEntries(included)
+	case !isWriter && len(included) > 0:
+		return CheckpointShare, newestEntries(included)
 	}
-	slices.SortFunc(included, func(a, b AttemptKey) int {
-		return cmp.Or(c.streams[b].beganAt.Compare(c.streams[a].beganAt), cmp.Compare(a, b))
+	return CheckpointKeep, nil
+}
+
+// newestEntries returns the streams that began last, at most MaxCheckpointStreams.
+func newestEntries(streams map[AttemptKey]*checkpointStream) []CheckpointEntry {
+	keys := slices.SortedFunc(maps.Keys(streams), func(a, b AttemptKey) int {
+		return cmp.Or(streams[b].beganAt.Compare(streams[a].beganAt), cmp.Compare(a, b))
 	})
-	included = included[:min(len(included), MaxCheckpointStreams)]
-	records := make([]CheckpointEntry, 0, len(included))
-	for _, key := range included {
-		records = append(records, CheckpointEntry{Attempt: key, Origin: c.streams[key].origin})
+	keys = keys[:min(len(keys), MaxCheckpointStreams)]
+	entries := make([]CheckpointEntry, 0, len(keys))
+	for _, key := range keys {
+		entries = append(entries, CheckpointEntry{Attempt: key, Origin: streams[key].origin})
 	}
-	return CheckpointWrite, records
+	return entries
 }
 
-// RecordWritten records that the store holds the records, as of an era.
-func (c *Checkpoint) RecordWritten(era uint64, records []CheckpointEntry) {
+// RecordWritten records that the store holds the entries, as of an era.
+func (c *Checkpoint) RecordWritten(era uint64, entries []CheckpointEntry) {
 	c.ObserveEra(era)
 	c.stored, c.wasStored = true, true
-	for _, s := range c.streams {
-		s.written = false
+	clear(c.written)
+	if era < c.era {
+		return
 	}
-	for _, r := range records {
-		if s, ok := c.streams[r.Attempt]; ok && era == c.era {
-			s.written = true
-		}
+	for _, entry := range entries {
+		c.written[entry.Attempt] = true
 	}
 }
 
@@ -172,9 +215,7 @@
 func (c *Checkpoint) RecordRemoved(era uint64) {
 	c.ObserveEra(era)
 	c.stored = era < c.era
-	for _, s := range c.streams {
-		s.written = false
-	}
+	clear(c.written)
 }
 
 // Len returns the number of streams.
@@ -190,4 +231,7 @@
 			delete(c.streams, key)
 		}
 	}
+	maps.DeleteFunc(c.shares, func(_ ports.DaemonID, share checkpointShare) bool {
+		return now.Sub(share.receivedAt) >= ResumptionPeriod
+	})
 }
--- a/internal/core/streamorigin/checkpoint_test.go
+++ b/internal/core/streamorigin/checkpoint_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
+	"hawthornstream/internal/core/placement"
 	"hawthornstream/internal/ports"
 )
 
@@ -29,7 +32,7 @@
 
 // update does what the checkpoint decides.
 func (d *checkpointedDaemon) update(now time.Time, several map[ports.ServiceName]bool) {
-	action, entries := d.checkpoint.Next(now, several)
+	action, entries := d.checkpoint.Next(now, several, true)
 	switch action {
 	case CheckpointWrite:
 		d.stored = entries
@@ -58,45 +61,57 @@
 	}
 }
 
-// known returns the number of streams in progress that the store holds.
-func (d *checkpointedDaemon) known(t *testing.T) int {
-	t.Helper()
-	known := 0
-	for _, entry := range d.stored {
-		origin, ok := d.inProgress[entry.Attempt]
-		if ok && origin != entry.Origin {
-			t.Errorf("%+v is stored as %+v", origin, entry.Origin)
-		}
-		if ok {
-			known++
-		}
-	}
-	return known
-}
-
 var (
 	severalOfLLM = map[ports.ServiceName]bool{"llm": true}
 	noneSeveral  = map[ports.ServiceName]bool{}
 )
 
-// All daemons are killed at any moment of a release. The store holds most of the streams in
-// progress, and the writes of the fleet stay within its rate.
+// checkpointedFleet is a fleet whose daemons find their writers.
+type checkpointedFleet struct {
+	vms     []ports.VM
+	daemons map[ports.DaemonID]*checkpointedDaemon
+	writers map[ports.DaemonID]ports.DaemonID
+	period  time.Duration
+}
+
+func newCheckpointedFleet(count int) *checkpointedFleet {
+	f := &checkpointedFleet{
+		vms: fleetOf(count), daemons: make(map[ports.DaemonID]*checkpointedDaemon), writers: make(map[ports.DaemonID]ports.DaemonID),
+	}
+	hash := placement.NewRendezvousHash(f.vms)
+	for _, vm := range f.vms {
+		writer, writers := Writer(vm, hash, f.vms)
+		f.daemons[vm.Name], f.writers[vm.Name] = newCheckpointedDaemon(), writer
+		f.period = CheckpointInterval(writers, 0)
+	}
+	return f
+}
+
+// update does what the daemon's checkpoint decides. One of ten messages is lost.
+func (f *checkpointedFleet) update(now time.Time, name ports.DaemonID, random *rand.Rand) {
+	d, writer := f.daemons[name], f.writers[name]
+	if writer == name {
+		d.update(now, severalOfLLM)
+	} else if action, entries := d.checkpoint.Next(now, severalOfLLM, false); action == CheckpointShare && random.Float64() < 0.9 {
+		f.daemons[writer].checkpoint.AddShare(now, name, entries)
+	}
+	d.writeAt = now.Add(f.period)
+}
+
+// All daemons are killed at any moment of a release. The store holds at least half of the
+// streams in progress, and the writes of the fleet stay within its rate.
 func TestStoreHoldsStreamsInProgressWhenAllDaemonsAreKilled(t *testing.T) {
-	const tick, period = 10 * time.Millisecond, 12 * time.Second
-	for _, c := range []struct {
-		daemons  int
-		minShare float64
-	}{{1, 0.85}, {7, 0.85}, {59, 0.5}, {195, 0.15}} {
-		random := rand.New(rand.NewPCG(43, uint64(c.daemons)))
-		start := time.Unix(1, 0)
-		fleet := make([]*checkpointedDaemon, c.daemons)
-		for i := range fleet {
-			fleet[i] = newCheckpointedDaemon()
-			fleet[i].writeAt = start.Add(time.Duration(random.Float64() * float64(CheckpointInterval(c.daemons, 0))))
+	const tick, duration = 10 * time.Millisecond, 10 * time.Second
+	for _, count := range []int{1, 7, 13, 59, 195} {
+		random := rand.New(rand.NewPCG(43, uint64(count)))
+		start, f := time.Unix(1, 0), newCheckpointedFleet(count)
+		for _, vm := range f.vms {
+			f.daemons[vm.Name].writeAt = start.Add(time.Duration(random.Float64() * float64(f.period)))
 		}
 		var inProgress, known, key, maxStored int
-		for now := start; now.Before(start.Add(period)); now = now.Add(tick) {
-			for _, d := range fleet {
+		for now := start; now.Before(start.Add(duration)); now = now.Add(tick) {
+			for _, vm := range f.vms {
+				d := f.daemons[vm.Name]
 				d.endStreams(now)
 				if random.Float64() < 0.2 {
 					key++
@@ -104,29 +119,99 @@
 					d.begin(now, AttemptKey(key), origin, time.Duration(2*random.Float64()*float64(meanStreamDuration)))
 				}
 				if !now.Before(d.writeAt) {
-					d.update(now, severalOfLLM)
-					d.writeAt = now.Add(CheckpointInterval(c.daemons, 0))
+					f.update(now, vm.Name, random)
 				}
-				maxStored = max(maxStored, len(d.stored))
 			}
-			if now.Sub(start) < period/2 || now.Sub(start)%time.Second != 0 {
+			if now.Sub(start) < duration/2 || now.Sub(start)%time.Second != 0 {
 				continue
 			}
-			for _, d := range fleet {
-				inProgress += len(d.inProgress)
-				known += d.known(t)
+			stored := make(map[AttemptKey]Origin)
+			for _, d := range f.daemons {
+				for _, entry := range d.stored {
+					stored[entry.Attempt] = entry.Origin
+				}
+				maxStored = max(maxStored, len(d.stored))
+			}
+			for _, d := range f.daemons {
+				for key, origin := range d.inProgress {
+					inProgress++
+					if at, ok := stored[key]; ok {
+						known++
+						if at != origin {
+							t.Errorf("%+v is stored as %+v", origin, at)
+						}
+					}
+				}
 			}
 		}
 		writes := 0
-		for _, d := range fleet {
+		for _, d := range f.daemons {
 			writes += d.writes
 		}
-		rate, share := float64(writes)/period.Seconds(), float64(known)/float64(inProgress)
-		t.Logf("%d daemons: %.2f of the streams in progress are stored, %.1f writes a second, at most %d in one", c.daemons, share, rate, maxStored)
-		if share < c.minShare || rate > 1.2*maxCheckpointRate {
-			t.Errorf("%d daemons: %.2f of the streams in progress are stored with %.1f writes a second", c.daemons, share, rate)
+		rate, share := float64(writes)/duration.Seconds(), float64(known)/float64(inProgress)
+		t.Logf("%d daemons: %.2f of the streams in progress are stored, %.1f writes a second, at most %d in one", count, share, rate, maxStored)
+		if share < 0.5 || rate > 1.1*maxCheckpointRate {
+			t.Errorf("%d daemons: %.2f of the streams in progress are stored with %.1f writes a second", count, share, rate)
+		}
+	}
+}
+
+// In a large fleet a few daemons of each failure domain write for it, each for about as many,
+// and daemons that agree on the fleet agree on them.
+func TestFewDaemonsWriteForLargeFleet(t *testing.T) {
+	for _, count := range []int{1, maxWriters, maxWriters + 1, 59, 195} {
+		vms := fleetOf(count)
+		hash, domains := placement.NewRendezvousHash(vms), make(map[ports.DaemonID]ports.FailureDomain)
+		for _, vm := range vms {
+			domains[vm.Name] = vm.Domain
+		}
+		served := make(map[ports.DaemonID]int)
+		for _, vm := range vms {
+			writer, writers := Writer(vm, hash, vms)
+			served[writer]++
+			if domains[writer] != vm.Domain || writers != min(count, maxWriters) {
+				t.Errorf("%d daemons: %s of %s writes for %s, one of %d", count, writer, domains[writer], vm.Name, writers)
+			}
+		}
+		most := slices.Max(slices.Collect(maps.Values(served)))
+		if len(served) > maxWriters || most > 3*count/len(served) {
+			t.Errorf("%d daemons: %v", count, served)
 		}
 	}
+	newcomer := ports.VM{Name: "new", Domain: "z9"}
+	if writer, _ := Writer(newcomer, placement.NewRendezvousHash(fleetOf(59)), fleetOf(59)); writer != "new" {
+		t.Errorf("%s writes for the only daemon of a domain", writer)
+	}
+}
+
+// A daemon that is lost can't share any more: its writer keeps its streams for their callers,
+// and then drops them. A daemon that no longer writes removes its checkpoint.
+func TestWriterKeepsStreamsOfLostDaemon(t *testing.T) {
+	now, writer, lost := time.Unix(1, 0), newCheckpointedDaemon(), newCheckpointedDaemon()
+	lost.checkpoint.Begin(now, 1, Origin{"llm", "v1"})
+	action, entries := lost.checkpoint.Next(now, severalOfLLM, false)
+	if action != CheckpointShare {
+		t.Fatalf("got %v", action)
+	}
+	writer.checkpoint.AddShare(now, "lost", entries)
+	now = now.Add(ResumptionPeriod - 1)
+	writer.update(now, severalOfLLM)
+	if len(writer.stored) != 1 {
+		t.Errorf("the store holds %v", writer.stored)
+	}
+	now = now.Add(1)
+	writer.checkpoint.Begin(now, 2, Origin{"llm", "v2"})
+	writer.update(now, severalOfLLM)
+	if len(writer.stored) != 1 || writer.stored[0].Attempt != 2 {
+		t.Errorf("the store holds %v", writer.stored)
+	}
+	if action, _ := writer.checkpoint.Next(now, severalOfLLM, false); action != CheckpointShare {
+		t.Errorf("got %v while its streams are in progress", action)
+	}
+	writer.checkpoint.Complete(2)
+	if action, _ := writer.checkpoint.Next(now, severalOfLLM, false); action != CheckpointRemove {
+		t.Errorf("got %v", action)
+	}
 }
 
 // In the steady state of one version, and while nothing begins, the store gets no calls.
@@ -194,34 +279,34 @@
 func TestCheckpointIsWrittenAgainInNewEra(t *testing.T) {
 	now, d := time.Unix(1, 0), newCheckpointedDaemon()
 	d.checkpoint.Begin(now, 1, Origin{"llm", "v1"})
-	_, entries := d.checkpoint.Next(now, severalOfLLM)
+	_, entries := d.checkpoint.Next(now, severalOfLLM, true)
 	d.checkpoint.RecordWritten(3, entries)
-	if action, _ := d.checkpoint.Next(now, severalOfLLM); action != CheckpointKeep {
+	if action, _ := d.checkpoint.Next(now, severalOfLLM, true); action != CheckpointKeep {
 		t.Errorf("got %v", action)
 	}
 	d.checkpoint.ObserveEra(4)
-	action, entries := d.checkpoint.Next(now, severalOfLLM)
+	action, entries := d.checkpoint.Next(now, severalOfLLM, true)
 	if action != CheckpointWrite || len(entries) != 1 {
 		t.Errorf("got %v %v", action, entries)
 	}
 	d.checkpoint.RecordWritten(3, entries)
-	if action, _ := d.checkpoint.Next(now, severalOfLLM); action != CheckpointWrite {
+	if action, _ := d.checkpoint.Next(now, severalOfLLM, true); action != CheckpointWrite {
 		t.Errorf("a write that was answered in an earlier era counts: %v", action)
 	}
 	d.checkpoint.RecordWritten(4, entries)
 	d.checkpoint.Complete(1)
-	if action, _ := d.checkpoint.Next(now, noneSeveral); action != CheckpointRemove {
+	if action, _ := d.checkpoint.Next(now, noneSeveral, true); action != CheckpointRemove {
 		t.Errorf("got %v", action)
 	}
 	d.checkpoint.RecordRemoved(4)
 	d.checkpoint.ObserveEra(5)
-	if action, _ := d.checkpoint.Next(now, noneSeveral); action != CheckpointRemove {
+	if action, _ := d.checkpoint.Next(now, noneSeveral, true); action != CheckpointRemove {
 		t.Errorf("got %v", action)
 	}
 	fresh := NewCheckpoint()
 	fresh.ObserveEra(1)
 	fresh.ObserveEra(2)
-	if action, _ := fresh.Next(now, noneSeveral); action != CheckpointKeep {
+	if action, _ := fresh.Next(now, noneSeveral, true); action != CheckpointKeep {
 		t.Errorf("a daemon that wrote nothing: got %v", action)
 	}
 }
--- a/internal/core/streamorigin/doc.go
+++ b/internal/core/streamorigin/doc.go
@@ -8,5 +8,8 @@
 // own and at two home daemons, which follow from the attempt ID by rendezvous hashing,
 // and a daemon that gets a resumption asks the daemons that may be its homes.
 //
+// When all daemons end at once, these records end with them. While several software
+// versions may have streams in progress, checkpoints in the platform's store outlive that.
+//
 // The package has no I/O, clock or lock. It is used by internal/app/dispatch.
 package streamorigin
--- a/internal/ports/peer.go
+++ b/internal/ports/peer.go
@@ -25,6 +25,7 @@
 	KindStreamOriginRecords MessageKind = 40
 	KindStreamOriginQuery   MessageKind = 41
 	KindStreamOriginAnswer  MessageKind = 42
+	KindStreamOriginShare   MessageKind = 43
 	KindEvacuationPull      MessageKind = 50
 	KindEvacuationPush      MessageKind = 51
 )
--- a/internal/ports/stream_origin_messages.go
+++ b/internal/ports/stream_origin_messages.go
@@ -38,3 +38,12 @@
 
 // Kind implements Message.
 func (*StreamOriginAnswer) Kind() MessageKind { return KindStreamOriginAnswer }
+
+// StreamOriginShare tells the daemon that writes the sender's checkpoint of all streams of
+// the sender that the checkpoint should contain, the newest of each group first.
+type StreamOriginShare struct {
+	Groups []StreamOriginGroup `cbor:"1,keyasint"`
+}
+
+// Kind implements Message.
+func (*StreamOriginShare) Kind() MessageKind { return KindStreamOriginShare }
