--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -62,6 +62,8 @@
 	Handover ports.HandoverOffers `optional:"true"`
 	// VersionRecords may be missing: no stream of unknown origin goes on then.
 	VersionRecords ports.VersionRecords `optional:"true"`
+	// StreamOrigins may be missing: the origins of streams then end with the daemons.
+	StreamOrigins ports.StreamOriginStore `optional:"true"`
 }
 
 // Manager implements ports.SlotBroker and ports.ServerNotices. It is safe for concurrent use.
@@ -96,6 +98,7 @@
 	evacuationCounter     *metrics.CounterVec
 	origins               *originExchange
 	versions              *versionExchange
+	checkpoints           *originCheckpoints
 	changeSignal          chan struct{}
 	pauseSignal           chan struct{}
 	// limitedServers is the number of servers that name a limit, for RecordLimit.
@@ -160,7 +163,6 @@
 		lists:                 newListExchange(p.List),
 		evacuations:           newEvacuationExchange(p.Evacuations),
 		evacuationCounter:     metrics.NewCounterVec(scope, "evacuations", "domain", "change"),
-		origins:               newOriginExchange(p.Directory, p.Transport),
 		versions:              newVersionExchange(p.VersionRecords),
 		changeSignal:          make(chan struct{}, 1),
 		pauseSignal:           make(chan struct{}, 1),
@@ -175,6 +177,8 @@
 		quarantine:            quarantine.NewTable(),
 		peerReports:           make(map[core.Source]*core.PeerReports),
 	}
+	m.checkpoints = newOriginCheckpoints(p.StreamOrigins, p.Directory, p.Transport, p.Logger, m.limiter, scope)
+	m.origins = newOriginExchange(p.Directory, p.Transport, m.checkpoints)
 	p.Transport.Handle(ports.KindLoad,
 		func() ports.Message { return &ports.LoadMessage{} },
 		func(from ports.DaemonID, message ports.Message) {
@@ -195,6 +199,7 @@
 		m.loops.Go(func() { m.versions.run(m.directory, m.applyEvidence) })
 		m.loops.Go(m.keepVersionRecords)
 	}
+	m.loops.Go(func() { m.checkpoints.run(m.stop) })
 }
 
 // Stop refuses the waiting calls and waits for the loop to end. It may be
--- a/internal/app/dispatch/resumption.go
+++ b/internal/app/dispatch/resumption.go
@@ -56,12 +56,18 @@
 		Str("doubt", string(decision.Doubt)).Msg("")
 }
 
-// recordFirstEvent records where a stream began, if its caller may resume it. A stream of
-// unknown origin that goes on has the version of all streams in progress.
+// recordFirstEvent records where a stream began or goes on, if its caller may resume it. A
+// stream of unknown origin that goes on has the version of all streams in progress.
 func (m *Manager) recordFirstEvent(now time.Time, call *ports.Call, server ports.VM) {
 	if !call.Resumable || server.SoftwareVersion == "" {
 		return
 	}
+	origin := streamorigin.Origin{Service: call.Service, SoftwareVersion: server.SoftwareVersion}
+	regions := m.regionsOf(call)
+	if !regions.IsBound() {
+		// The records of calls that are bound to regions stay there.
+		m.checkpoints.recordEvent(now, call, origin)
+	}
 	first := call.ID
 	if call.IsResumption() {
 		first = call.Resumes
@@ -69,9 +75,7 @@
 			return
 		}
 	}
-	m.origins.recordFirstEvent(now, first, streamorigin.Origin{
-		Service: call.Service, SoftwareVersion: server.SoftwareVersion,
-	}, m.regionsOf(call))
+	m.origins.recordFirstEvent(now, first, origin, regions)
 }
 
 func versionGoneRefusal(detail string) *outcome.Refusal {
--- a/internal/app/dispatch/versionrecords.go
+++ b/internal/app/dispatch/versionrecords.go
@@ -63,9 +63,9 @@
 			view = streamorigin.NewVersionView()
 			m.versionViews[service] = view
 		}
-		view.Observe(now, streamorigin.ListObservation{
-			Versions: pool.SoftwareVersions(), Era: list.Era, Fresh: isFresh,
-		})
+		versions := pool.SoftwareVersions()
+		view.Observe(now, streamorigin.ListObservation{Versions: versions, Era: list.Era, Fresh: isFresh})
+		m.checkpoints.observeVersions(now, service, versions)
 		needsRecord = needsRecord || view.NeedsRecord(now)
 	}
 	if needsRecord && m.versions.records != nil && m.lists.keepsRecords(now, list) {
