--- a/internal/app/dispatch/versionevidence.go
+++ b/internal/app/dispatch/versionevidence.go
@@ -19,7 +19,7 @@
 	// minEvidenceInterval is the least time between the begins of two reads, and
 	// evidenceIntervalPerDaemon that time in a larger fleet for each of its daemons: each
 	// read costs two of the requests that the store takes from all of them together.
-	minEvidenceInterval       = 50 * time.Millisecond
+	minEvidenceInterval       = 150 * time.Millisecond
 	evidenceIntervalPerDaemon = 2 * time.Millisecond
 )
 
