--- a/internal/core/configuration/routes.go
+++ b/internal/core/configuration/routes.go
@@ -122,16 +122,22 @@
 func checkRoutes(document Document) []fieldcheck.Fault {
 	var faults []fieldcheck.Fault
 	for _, name := range sortedKeys(document.Routes) {
-		route := document.Routes[name]
-		if _, found := document.Classes[route.Class]; !found {
-			path := fmt.Sprintf("routes[%s].class", name)
-			faults = append(faults, newFault(path, route.Class, "one of the classes"))
-		}
-		for i, target := range route.Split {
-			if _, found := document.Services[target.Service]; !found {
-				path := fmt.Sprintf("routes[%s].split[%d].service", name, i)
-				faults = append(faults, newFault(path, target.Service, "one of the services"))
-			}
+		faults = append(faults, checkRoute(fmt.Sprintf("routes[%s].", name), document.Routes[name], document)...)
+	}
+	return faults
+}
+
+// checkRoute reports undefined classes and services of a route. The paths of the faults
+// begin with the prefix.
+func checkRoute(prefix string, route Route, document Document) []fieldcheck.Fault {
+	var faults []fieldcheck.Fault
+	if _, found := document.Classes[route.Class]; !found {
+		faults = append(faults, newFault(prefix+"class", route.Class, "one of the classes"))
+	}
+	for i, target := range route.Split {
+		if _, found := document.Services[target.Service]; !found {
+			path := fmt.Sprintf("%ssplit[%d].service", prefix, i)
+			faults = append(faults, newFault(path, target.Service, "one of the services"))
 		}
 	}
 	return faults
--- a/internal/core/configuration/validate.go
+++ b/internal/core/configuration/validate.go
@@ -93,11 +93,9 @@
 func checkClasses(document Document) []fieldcheck.Fault {
 	var faults []fieldcheck.Fault
 	for _, name := range sortedKeys(document.Classes) {
-		class := document.Classes[name]
-		if class.FirstTokenWithin > class.AnswerWithin {
-			path := fmt.Sprintf("classes[%s].firstTokenWithin", name)
-			allowed := fmt.Sprintf("at most answerWithin, %s", class.AnswerWithin.Value())
-			faults = append(faults, newFault(path, class.FirstTokenWithin, allowed))
+		for _, fault := range checkClass(document.Classes[name]) {
+			fault.Path = fmt.Sprintf("classes[%s].%s", name, fault.Path)
+			faults = append(faults, fault)
 		}
 	}
 	return faults
