Start on machines with more than 1 GiB of memory

Cause: limits.memory took 16 MiB to 1 GiB. The bound has no use: the value sets the collector's aim and the number of callers' connections, which limits.connections bounds as well.

Evidence, before:

go test ./internal/settings -run MemoryOfLarge --- FAIL: TestMemoryOfLargeMachines 2048MiB: ... limits.memory: "2GiB" is not accepted; allowed: 16MiB to 1GiB 1024GiB: ... the same

Change: up to 1024 GiB. After: the test passes, and go test ./internal/settings.

--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -140,3 +140,18 @@
 		}
 	}
 }
+
+// parseWith parses valid settings with one more section.
+func parseWith(section string) (*Settings, error) {
+	return Parse([]byte(strings.Replace(validSettings, `"operators": {`, section+`, "operators": {`, 1)))
+}
+
+// The daemon did not start on a machine with more than 1 GiB.
+func TestMemoryOfLargeMachines(t *testing.T) {
+	for size, valid := range map[string]bool{"15MiB": false, "16MiB": true, "1024MiB": true, "2048MiB": true, "1024GiB": true, "1025GiB": false} {
+		s, err := parseWith(`"limits": {"memory": "` + size + `"}`)
+		if (err == nil) != valid {
+			t.Errorf("%s: got %+v, %v", size, s, err)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -147,8 +147,8 @@
 	// cores. Default: the number of processors that it sees; 0.01 to 1024.
 	Processors float64 `json:"processors,omitempty" validate:"omitempty,between=0.01 1024"`
 	// Memory is the process's memory limit; garbage collection becomes more
-	// frequent well below it. Default: no limit; 16MiB to 1GiB.
-	Memory Size `json:"memory,omitempty" validate:"omitempty,between=16MiB 1GiB"`
+	// frequent well below it. Default: no limit; 16MiB to 1024GiB.
+	Memory Size `json:"memory,omitempty" validate:"omitempty,between=16MiB 1024GiB"`
 }
 
 // Retries is the fleet's retry budget for a service over ten seconds.
