Take a fraction as the fleet's floor of retries

Cause: retries.fleetFloor was a whole number.

Evidence, before (with the test's comparison left out, since 54.5 is no int):

go test ./internal/settings -run FractionOf --- FAIL: TestFractionOfFleetFloor ... retries.fleetFloor: 54.5 is not accepted; allowed: a whole number

Change: a number. Each daemon's part was a fraction cut to a whole number before and is now. TestStartingDaemonDoesNotTakeRetriesOfFleet and TestDaemonsStayWithinRetriesOfFleet compare the same values as numbers of another type; their bounds are the same.

After: the test passes, and go test ./internal/settings ./internal/app/execution.

--- a/internal/app/execution/fleetpolicy.go
+++ b/internal/app/execution/fleetpolicy.go
@@ -55,6 +55,6 @@
 		daemons = max(daemons, startupDaemons)
 	}
 	policy.RetryRatio *= budgetSafetyFactor
-	policy.MinRetries = int(budgetSafetyFactor * float64(p.settings.MinFleetRetries) / float64(daemons))
+	policy.MinRetries = int(budgetSafetyFactor * p.settings.MinFleetRetries / float64(daemons))
 	return policy
 }
--- a/internal/app/execution/fleetpolicy_test.go
+++ b/internal/app/execution/fleetpolicy_test.go
@@ -38,7 +38,7 @@
 				retries++
 			}
 		}
-		allowed := limits.Ratio*float64(daemons*callsPerDaemon) + float64(limits.MinFleetRetries)
+		allowed := limits.Ratio*float64(daemons*callsPerDaemon) + limits.MinFleetRetries
 		if float64(retries) > allowed {
 			t.Errorf("%d daemons make %d retries, want at most %.0f", daemons, retries, allowed)
 		}
@@ -65,7 +65,7 @@
 func TestStartingDaemonDoesNotTakeRetriesOfFleet(t *testing.T) {
 	limits := settings.Retries{Ratio: 0.2, MinFleetRetries: 160}
 	policy := newFleetRetryPolicy(time.Now(), limits, &fakeDirectory{daemons: 1}).daemonPolicy()
-	if most := limits.MinFleetRetries / 16; policy.MinRetries > most {
-		t.Errorf("a daemon that starts takes %d retries of the fleet's %d", policy.MinRetries, limits.MinFleetRetries)
+	if most := limits.MinFleetRetries / 16; float64(policy.MinRetries) > most {
+		t.Errorf("a daemon that starts takes %d retries of the fleet's %v", policy.MinRetries, limits.MinFleetRetries)
 	}
 }
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -155,3 +155,11 @@
 		}
 	}
 }
+
+// The platform gives bounds with fractions, and the daemon did not start with one.
+func TestFractionOfFleetFloor(t *testing.T) {
+	s, err := parseWith(`"retries": {"part": 0.2, "fleetFloor": 54.5}`)
+	if err != nil || s.Retries.MinFleetRetries != 54.5 {
+		t.Errorf("got %+v, %v", s, err)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -158,7 +158,7 @@
 	// MinFleetRetries is the number of retries that all daemons together may
 	// always make. Default: 0, which gives each daemon a minimum of its own; 0 to
 	// 1000000.
-	MinFleetRetries int `json:"fleetFloor,omitempty" validate:"between=0 1000000"`
+	MinFleetRetries float64 `json:"fleetFloor,omitempty" validate:"between=0 1000000"`
 }
 
 // WarmUp is how far a cold backend server bears more requests in one second than its
