Read the VM list of the own interface entry by entry

Operators of the own interface: one entry of the platform's VM list with a field of another type, a number out of range or deep nesting kept daemons from reading the list at all.

go test ./internal/adapters/vmlist -run OddEntry --- FAIL: TestOddEntryDoesNotStopTheList, all 7 cases, such as {"name":"b","slots":1e999}: VMs [], error ... cannot unmarshal number 1e999 ... of type int [[[[...: VMs [], error ... exceeded max depth

After: the test passes, and go test ./internal/adapters/vmlist ./internal/app/cluster.

--- a/internal/adapters/vmlist/vmlist.go
+++ b/internal/adapters/vmlist/vmlist.go
@@ -12,8 +12,12 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
+	"hawthornstream/internal/adapters/logging"
+	"hawthornstream/internal/core/fieldcheck"
+	"hawthornstream/internal/core/jsondepth"
 	"hawthornstream/internal/ports"
 )
 
@@ -33,6 +37,10 @@
 	requests      tally.Counter
 	failures      tally.Counter
 	receivedBytes tally.Counter
+	// entriesSetAside counts the entries that can't be decoded.
+	entriesSetAside tally.Counter
+	logger          *log.Logger
+	limiter         *logging.Limiter
 
 	mu sync.Mutex
 	// etag and cachedVMs are the entity tag and the list of the last complete
@@ -43,7 +51,7 @@
 
 // New returns a client for the list at the URL. It counts its requests, failed
 // requests and received bytes (compressed, bodies only) in the scope.
-func New(listURL string, scope tally.Scope) *Client {
+func New(listURL string, scope tally.Scope, logger *log.Logger) *Client {
 	tagged := scope.Tagged(map[string]string{"operation": "list-vms"})
 	return &Client{
 		listURL:       listURL,
@@ -51,6 +59,8 @@
 		requests:      tagged.Counter("vm_list_requests"),
 		failures:      tagged.Counter("vm_list_failures"),
 		receivedBytes: tagged.Counter("vm_list_received_bytes"),
+
+		entriesSetAside: tagged.Counter("vm_list_entries_set_aside"), logger: logger, limiter: logging.NewLimiter(logger),
 	}
 }
 
@@ -93,7 +103,7 @@
 		return nil, &StatusError{Status: response.StatusCode}
 	}
 	body := &countingReader{reader: response.Body}
-	vms, err := decode(body, response.Header.Get("Content-Encoding"))
+	vms, err := c.decode(body, response.Header.Get("Content-Encoding"))
 	c.receivedBytes.Inc(body.bytesRead)
 	if err != nil {
 		return nil, err
@@ -127,7 +137,8 @@
 	return n, err
 }
 
-func decode(body io.Reader, encoding string) ([]ports.VM, error) {
+// decode decodes an answer. Entries that can't be decoded are left out.
+func (c *Client) decode(body io.Reader, encoding string) ([]ports.VM, error) {
 	if encoding == gzipEncoding {
 		decompressed, err := gzip.NewReader(body)
 		if err != nil {
@@ -135,16 +146,38 @@
 		}
 		body = decompressed
 	}
+	data, err := io.ReadAll(io.LimitReader(body, maxListBytes))
+	if err != nil {
+		return nil, err
+	}
 	var list struct {
-		VMs *[]ports.VM `json:"vms"`
+		VMs *[]json.RawMessage `json:"vms"`
 	}
-	if err := json.NewDecoder(io.LimitReader(body, maxListBytes)).Decode(&list); err != nil {
+	if err := jsondepth.Unmarshal(data, &list); err != nil {
 		return nil, err
 	}
 	if list.VMs == nil {
 		return nil, &MissingListError{}
 	}
-	return *list.VMs, nil
+	return c.decodeEntries(*list.VMs), nil
+}
+
+// decodeEntries returns the entries that can be decoded. It counts and logs the others.
+func (c *Client) decodeEntries(entries []json.RawMessage) []ports.VM {
+	vms := make([]ports.VM, 0, len(entries))
+	for i, entry := range entries {
+		var vm ports.VM
+		if err := json.Unmarshal(entry, &vm); err != nil {
+			c.entriesSetAside.Inc(1)
+			if c.limiter.Allow("vm-list-entry-set-aside", "") {
+				c.logger.Warn().Str("event", "vm-list-entry-set-aside").Int("index", i).
+					Str("name", fieldcheck.Quote(string(vm.Name))).Str("error", fieldcheck.Quote(err.Error())).Msg("")
+			}
+			continue
+		}
+		vms = append(vms, vm)
+	}
+	return vms
 }
 
 // StatusError reports that the platform answered with an unexpected status.
--- a/internal/adapters/vmlist/vmlist_test.go
+++ b/internal/adapters/vmlist/vmlist_test.go
@@ -3,19 +3,22 @@
 import (
 	"compress/gzip"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/uber-go/tally/v4"
 
+	"hawthornstream/internal/adapters/logging"
 	"hawthornstream/internal/ports"
 )
 
 func newTestClient(t *testing.T, handler http.HandlerFunc) *Client {
 	t.Helper()
 	server := httptest.NewServer(handler)
-	client := New(server.URL, tally.NoopScope)
+	client := New(server.URL, tally.NoopScope, logging.New(io.Discard, "info"))
 	t.Cleanup(func() {
 		client.Close()
 		server.Close()
@@ -34,6 +37,21 @@
 	}
 }
 
+// One entry of another type or nested too deeply kept the whole list from being read.
+func TestOddEntryDoesNotStopTheList(t *testing.T) {
+	for _, odd := range []string{
+		"7", `"text"`, `{"name":7}`, `{"name":"b","slots":1e999}`, `{"name":"b","started":9223372036854775808}`,
+		strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000), `{"name":"b","slots":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + "}",
+	} {
+		client := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(`{"vms":[{"name":"a"},` + odd + `,{"name":"c"}]}`))
+		})
+		if vms, err := client.List(t.Context()); err != nil || len(vms) != 2 || vms[1].Name != "c" {
+			t.Errorf("%.30s: VMs %v, error %v, want a and c", odd, vms, err)
+		}
+	}
+}
+
 func TestListDecodesGzip(t *testing.T) {
 	client := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Accept-Encoding") != gzipEncoding {
--- a/internal/app/cluster/module.go
+++ b/internal/app/cluster/module.go
@@ -54,8 +54,10 @@
 	}
 }
 
-func provideVMList(lifecycle fx.Lifecycle, s *settings.Settings, scope tally.Scope) *vmlist.Client {
-	client := vmlist.New(s.Platform.VMList, scope)
+func provideVMList(
+	lifecycle fx.Lifecycle, s *settings.Settings, scope tally.Scope, logger *log.Logger,
+) *vmlist.Client {
+	client := vmlist.New(s.Platform.VMList, scope, logger)
 	lifecycle.Append(fx.StopHook(client.Close))
 	return client
 }
--- a/internal/core/fieldcheck/fault.go
+++ b/internal/core/fieldcheck/fault.go
@@ -32,6 +32,15 @@
 	return Fault{Path: path, Value: value, Allowed: allowed}
 }
 
+// maxQuotedBytes is the most bytes of a text that Quote returns.
+const maxQuotedBytes = 200
+
+// Quote returns the beginning of a text that may be as long as its writer likes, for a line
+// of the log.
+func Quote(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxQuotedBytes)], "")
+}
+
 // String implements fmt.Stringer.
 func (f Fault) String() string {
 	path := f.Path
