A server's entry with a daemon's name hides neither

Callers: a daemon that starts after another writer left an entry of a server named like a daemon doesn't learn of that daemon, or of the server: it tells it nothing, counts one daemon less, and takes a larger part of the fleet's budgets.

Cause: of the entries with one name, the list kept the one with the lower address, whatever kind these are. Names are those of one kind: daemons and servers are read from different lists of the store.

Evidence, before:

go test ./internal/app/cluster -run NameOfDaemon --- FAIL: TestServerWithNameOfDaemonHidesNeither server at 1.0.0.1:1: valid entries [{vm-00 backend d r app 1.0.0.1:1 ...}] server at 200.0.0.1:1: valid entries [{vm-00 daemon d r 127.0.0.1:1 ...}]

Change: one entry for each name and kind. After: the test passes, and go test ./internal/app/cluster.

--- a/internal/app/cluster/vmlistfilter.go
+++ b/internal/app/cluster/vmlistfilter.go
@@ -75,7 +75,7 @@
 	return 2*missing > len(f.accepted)
 }
 
-// validVMs returns the valid entries ordered by name, one for each name.
+// validVMs returns the valid entries ordered by name, one for each name and kind.
 func validVMs(list []ports.VM) []ports.VM {
 	var vms []ports.VM
 	for _, vm := range list {
@@ -84,9 +84,9 @@
 		}
 	}
 	slices.SortFunc(vms, func(a, b ports.VM) int {
-		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Address, b.Address))
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Address, b.Address))
 	})
-	return slices.CompactFunc(vms, func(a, b ports.VM) bool { return a.Name == b.Name })
+	return slices.CompactFunc(vms, func(a, b ports.VM) bool { return a.Name == b.Name && a.Kind == b.Kind })
 }
 
 // isValidVM reports whether an entry has all fields that the daemon needs.
--- a/internal/app/cluster/vmlistfilter_test.go
+++ b/internal/app/cluster/vmlistfilter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -93,3 +94,16 @@
 		t.Errorf("valid entries %v, want only %v", got, valid)
 	}
 }
+
+// The entry of a server that had a daemon's name hid the daemon, or the daemon the server.
+func TestServerWithNameOfDaemonHidesNeither(t *testing.T) {
+	daemon := daemonVMs(1)[0]
+	server := daemon
+	server.Kind, server.Service = ports.VMKindBackend, "app"
+	for _, address := range []string{"1.0.0.1:1", "200.0.0.1:1"} {
+		server.Address = address
+		if got := validVMs([]ports.VM{daemon, server}); !slices.Contains(got, daemon) || !slices.Contains(got, server) {
+			t.Errorf("server at %s: valid entries %v", address, got)
+		}
+	}
+}
