List no daemon whose entry names none that can be reached

Daemons: an odd entry among the daemons' objects was listed as a daemon, with a name, domain or region of any length or an address that is no VM's, and told to membership, which has to find it dead.

Evidence, before:

go test ./platform -run NamesNoDaemon --- FAIL: TestOddEntryNamesNoDaemon: got 10 daemons (13 entries, of which one is sound)

Ruled out: a check of the failure domain against the settings, which other daemons may have newer ones of.

--- a/internal/core/serverlist/entry.go
+++ b/internal/core/serverlist/entry.go
@@ -19,7 +19,7 @@
 // Field is a field of an entry.
 type Field string
 
-// The fields that CheckEntry checks.
+// The fields that CheckEntry and CheckDaemon check.
 const (
 	FieldName    Field = "name"
 	FieldService Field = "service"
@@ -27,9 +27,11 @@
 	FieldSlots   Field = "slots"
 	FieldStarted Field = "started"
 	FieldVersion Field = "version"
+	FieldDomain  Field = "domain"
+	FieldRegion  Field = "region"
 )
 
-// UnusableEntryError reports an entry of a server that can't be used.
+// UnusableEntryError reports an entry of a server or daemon that can't be used.
 type UnusableEntryError struct {
 	// Field is the first field whose value can't be used.
 	Field Field
@@ -37,7 +39,7 @@
 
 // Error implements error.
 func (e *UnusableEntryError) Error() string {
-	return fmt.Sprintf("the %s of the server can't be used", e.Field)
+	return fmt.Sprintf("the %s of the entry can't be used", e.Field)
 }
 
 // CheckEntry fails with *UnusableEntryError if no call could be sent to the server, or its
@@ -48,7 +50,7 @@
 		return &UnusableEntryError{Field: FieldName}
 	case !fieldcheck.IsLabel(string(vm.Service)):
 		return &UnusableEntryError{Field: FieldService}
-	case !IsReachableAddress(vm.Address):
+	case !isReachableAddress(vm.Address):
 		return &UnusableEntryError{Field: FieldAddress}
 	case vm.Slots < 1 || vm.Slots > maxSlots:
 		return &UnusableEntryError{Field: FieldSlots}
@@ -60,9 +62,25 @@
 	return nil
 }
 
-// IsReachableAddress reports whether text is an IP address and port of one VM that others
+// CheckDaemon fails with *UnusableEntryError if the entry of a daemon names none that can be
+// reached.
+func CheckDaemon(vm ports.VM) error {
+	switch {
+	case !fieldcheck.IsLabel(string(vm.Name)):
+		return &UnusableEntryError{Field: FieldName}
+	case !fieldcheck.IsLabel(string(vm.Domain)):
+		return &UnusableEntryError{Field: FieldDomain}
+	case !fieldcheck.IsLabel(string(vm.Region)):
+		return &UnusableEntryError{Field: FieldRegion}
+	case !isReachableAddress(vm.Address):
+		return &UnusableEntryError{Field: FieldAddress}
+	}
+	return nil
+}
+
+// isReachableAddress reports whether text is an IP address and port of one VM that others
 // can reach.
-func IsReachableAddress(text string) bool {
+func isReachableAddress(text string) bool {
 	address, err := netip.ParseAddrPort(text)
 	if err != nil || address.Port() == 0 || address.Addr().Zone() != "" {
 		return false
