--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -184,14 +184,14 @@
 }
 
 // ReadAll reads a body of at most limit bytes. Errors are of type *ExchangeError
-// or, for a longer body, *AnswerTooLargeError.
+// or, for a longer body, *AnswerTooLargeError, with which it returns what was read.
 func (e *Exchange) ReadAll(limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(e, limit+1))
 	if err != nil {
 		return nil, err
 	}
 	if int64(len(body)) > limit {
-		return nil, &AnswerTooLargeError{Limit: limit}
+		return body, &AnswerTooLargeError{Limit: limit}
 	}
 	return body, nil
 }
