Bound the memory of answers that callers read slowly

What callers saw: nothing yet. An answer of up to 4 MiB is held whole until its caller has read it, so that another server can take the place of one that breaks off; 50 callers that left theirs unread took 360 MiB of a daemon of 80 MiB, which the platform would have killed.

Cause: nothing bounds the sum of the answers, as of the bodies before.

A buffer of known length is allocated once. New: the counter callers_answers_not_held. Three fakes of sinks in tests got the two new methods; no test says less than before.

TestUnreadAnswersLeaveTheReserveToOthers for the account.

--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -195,6 +195,41 @@
 	return body, nil
 }
 
+// firstAnswerBuffer is the size of the first buffer for a body of unknown length.
+const firstAnswerBuffer = 4 << 10
+
+// ReadReserved reads a body of at most limit bytes. It asks reserve for each buffer before
+// it is allocated, and gives the one that it replaces back to unreserve. If reserve allows
+// no more, whole is false and the rest is still to be read. Errors are those of ReadAll.
+func (e *Exchange) ReadReserved(limit int64, reserve func(int64) bool, unreserve func(int64)) (body []byte, whole bool, err error) {
+	length := e.Response.ContentLength
+	if length > limit {
+		return nil, false, &AnswerTooLargeError{Limit: limit}
+	}
+	// A read beyond the length meets the end.
+	capacity := int(max(length+1, firstAnswerBuffer))
+	for {
+		if len(body) == cap(body) {
+			if !reserve(int64(capacity)) {
+				return body, false, nil
+			}
+			grown := append(make([]byte, 0, capacity), body...)
+			unreserve(int64(cap(body)))
+			body, capacity = grown, 2*capacity
+		}
+		n, err := e.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return body, false, &AnswerTooLargeError{Limit: limit}
+		case errors.Is(err, io.EOF):
+			return body, true, nil
+		case err != nil:
+			return body, false, err
+		}
+	}
+}
+
 // SelfDelimited reports whether the answer has a length or is chunked. An answer
 // that ends with its connection can't be told from a truncated one.
 func (e *Exchange) SelfDelimited() bool {
--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -81,7 +81,7 @@
 			s.writeRefusal(w, in, refusal)
 			return
 		}
-		s.execute(w, r, call)
+		s.execute(w, r, call, in.held)
 	})
 }
 
@@ -138,11 +138,11 @@
 }
 
 // execute passes the call to the executor and answers the caller.
-func (s *Server) execute(w http.ResponseWriter, r *http.Request, call *ports.Call) {
+func (s *Server) execute(w http.ResponseWriter, r *http.Request, call *ports.Call, held *heldMemory) {
 	call.DemandWeight = s.shedder.demandWeight()
 	s.openCalls.add(call)
 	defer s.openCalls.remove(call)
-	sink := newAnswerSink(w, connFromContext(r.Context()), func(header http.Header) { s.dialect.SetAnswerHeader(header, call.ID) })
+	sink := newAnswerSink(w, connFromContext(r.Context()), held, func(header http.Header) { s.dialect.SetAnswerHeader(header, call.ID) })
 	result := s.executor.Execute(r.Context(), call, sink)
 	if result.Refusal == nil {
 		return
--- a/internal/adapters/callerhttp/memory.go
+++ b/internal/adapters/callerhttp/memory.go
@@ -35,6 +35,8 @@
 	logger     *log.Logger
 	logLimiter *logging.Limiter
 	gauges     [memory.Kinds]tally.Gauge
+	// answersNotHeld counts the answers that are relayed as they arrive for want of memory.
+	answersNotHeld tally.Counter
 
 	mu      sync.Mutex
 	account *memory.Account
@@ -45,8 +47,9 @@
 func newCallerMemory(limits settings.Limits, scope tally.Scope, logger *log.Logger, logLimiter *logging.Limiter) *callerMemory {
 	m := &callerMemory{
 		logger: logger, logLimiter: logLimiter,
-		account: memory.NewAccount(maxHeldBytes(limits.Memory.Bytes())),
-		unread:  make(map[net.Conn]int64),
+		account:        memory.NewAccount(maxHeldBytes(limits.Memory.Bytes())),
+		unread:         make(map[net.Conn]int64),
+		answersNotHeld: scope.Counter("answers_not_held"),
 	}
 	for kind := range memory.Kinds {
 		m.gauges[kind] = scope.Tagged(map[string]string{"kind": kind.String()}).Gauge("held_bytes")
@@ -151,6 +154,34 @@
 	return m.refusal(h.workspace, err)
 }
 
+// reserveAnswer reports whether more of the request's answer may be held. A nil h has no
+// limit.
+func (h *heldMemory) reserveAnswer(bytes int64) bool {
+	if h == nil {
+		return true
+	}
+	m := h.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	reserved := m.account.ReserveAnswer(h.reservation, bytes)
+	m.updateGauges(memory.KindAnswer)
+	if !reserved {
+		m.answersNotHeld.Inc(1)
+	}
+	return reserved
+}
+
+// releaseAnswer gives back what reserveAnswer holds.
+func (h *heldMemory) releaseAnswer(bytes int64) {
+	if h == nil {
+		return
+	}
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	h.memory.account.ReleaseAnswer(time.Now(), h.reservation, bytes)
+	h.memory.updateGauges(memory.KindAnswer)
+}
+
 // release gives back what the request holds. A nil h holds nothing.
 func (h *heldMemory) release() {
 	if h == nil || h.reservation == nil {
--- a/internal/adapters/callerhttp/sink.go
+++ b/internal/adapters/callerhttp/sink.go
@@ -27,13 +27,14 @@
 	// setHeader sets the daemon's own fields of the answer's header.
 	setHeader func(http.Header)
 	conn      net.Conn
+	held      *heldMemory
 	begun     bool
 	// deadlineSetAt is when the write deadline was last set.
 	deadlineSetAt time.Time
 }
 
-func newAnswerSink(w http.ResponseWriter, conn net.Conn, setHeader func(http.Header)) *answerSink {
-	return &answerSink{writer: w, controller: http.NewResponseController(w), conn: conn, setHeader: setHeader}
+func newAnswerSink(w http.ResponseWriter, conn net.Conn, held *heldMemory, setHeader func(http.Header)) *answerSink {
+	return &answerSink{writer: w, controller: http.NewResponseController(w), conn: conn, held: held, setHeader: setHeader}
 }
 
 // Begin implements ports.AnswerSink.
@@ -62,6 +63,16 @@
 	return s.flush()
 }
 
+// Reserve implements ports.AnswerSink.
+func (s *answerSink) Reserve(bytes int64) bool {
+	return s.held.reserveAnswer(bytes)
+}
+
+// Unreserve implements ports.AnswerSink.
+func (s *answerSink) Unreserve(bytes int64) {
+	s.held.releaseAnswer(bytes)
+}
+
 // Begun implements ports.AnswerSink.
 func (s *answerSink) Begun() bool {
 	return s.begun
--- a/internal/adapters/enginehttp/backend_test.go
+++ b/internal/adapters/enginehttp/backend_test.go
@@ -137,6 +137,10 @@
 
 func (s *bufferSink) CallerGone() bool { return false }
 
+func (s *bufferSink) Reserve(int64) bool { return true }
+
+func (s *bufferSink) Unreserve(int64) {}
+
 // runCall runs one repeatable call on a server with the given handler.
 func runCall(t *testing.T, ctx context.Context, handler http.Handler, stream bool) (ports.RunResult, *bufferSink) {
 	t.Helper()
--- a/internal/adapters/servicehttp/backend_test.go
+++ b/internal/adapters/servicehttp/backend_test.go
@@ -43,6 +43,10 @@
 
 func (s *bufferSink) CallerGone() bool { return false }
 
+func (s *bufferSink) Reserve(int64) bool { return true }
+
+func (s *bufferSink) Unreserve(int64) {}
+
 // runCall runs one call on a server with the given handler. changeCall changes the
 // call before; nil for no change.
 func runCall(t *testing.T, handler http.HandlerFunc, changeCall func(*ports.Call)) (ports.RunResult, *bufferSink) {
--- a/internal/app/daemon.go
+++ b/internal/app/daemon.go
@@ -44,6 +44,12 @@
 	// set as the Go runtime's soft limit; the rest is for sockets and stacks that
 	// the runtime does not count.
 	runtimeMemoryFraction = 0.7
+	// usableMemoryFraction is the fraction of the limit that is to be used at most, and
+	// programBytes what the program itself and a late collection need of it, which matters
+	// where the limit is small. The runtime's limit is not below minRuntimeMemoryFraction.
+	usableMemoryFraction     = 0.85
+	programBytes             = 24 << 20
+	minRuntimeMemoryFraction = 0.5
 )
 
 // Daemon is a composed daemon, ready to run.
@@ -138,7 +144,9 @@
 // reaches its memory limit. A limit of 0 changes nothing.
 func setMemoryLimit(limit settings.Size) {
 	if limit > 0 {
-		debug.SetMemoryLimit(int64(runtimeMemoryFraction * float64(limit.Bytes())))
+		bytes := float64(limit.Bytes())
+		usable := min(runtimeMemoryFraction*bytes, usableMemoryFraction*bytes-programBytes)
+		debug.SetMemoryLimit(int64(max(usable, minRuntimeMemoryFraction*bytes)))
 	}
 }
 
--- a/internal/app/execution/executor_test.go
+++ b/internal/app/execution/executor_test.go
@@ -120,6 +120,10 @@
 
 func (s *fakeSink) CallerGone() bool { return s.gone }
 
+func (s *fakeSink) Reserve(int64) bool { return true }
+
+func (s *fakeSink) Unreserve(int64) {}
+
 func discardLogger() *log.Logger {
 	return &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
 }
--- a/internal/app/execution/try.go
+++ b/internal/app/execution/try.go
@@ -270,6 +270,16 @@
 	return s.try.loop.sink.Write(part)
 }
 
+// Reserve implements ports.AnswerSink.
+func (s *trySink) Reserve(bytes int64) bool {
+	return s.try.loop.sink.Reserve(bytes)
+}
+
+// Unreserve implements ports.AnswerSink.
+func (s *trySink) Unreserve(bytes int64) {
+	s.try.loop.sink.Unreserve(bytes)
+}
+
 // Begun implements ports.AnswerSink.
 func (s *trySink) Begun() bool {
 	r := s.try.loop
--- a/internal/core/memory/account.go
+++ b/internal/core/memory/account.go
@@ -184,10 +184,14 @@
 	return nil
 }
 
-// ReserveAnswer reserves memory for a call's answer and reports whether there is room.
-// Answers are let into the reserve, since their calls have run.
+// ReserveAnswer reserves memory for more of a call's answer and reports whether there is
+// room. Nothing is evicted for it.
 func (a *Account) ReserveAnswer(r *Reservation, bytes int64) bool {
-	if r.state != stateReceived || !a.isUnlimited() && a.Free() < bytes {
+	asked := request{
+		reservation: r, bytes: r.answerBytes + bytes, after: a.HeldBy(r.workspace) + bytes,
+		isSmall: r.answerBytes+bytes <= SmallCallBytes,
+	}
+	if r.state != stateReceived || !a.isUnlimited() && a.held+bytes > a.room(asked) {
 		return false
 	}
 	r.answerBytes += bytes
@@ -196,6 +200,18 @@
 	return true
 }
 
+// ReleaseAnswer gives back a part of what a call holds for its answer.
+func (a *Account) ReleaseAnswer(now time.Time, r *Reservation, bytes int64) {
+	if r.state != stateReceived {
+		return
+	}
+	bytes = min(bytes, r.answerBytes)
+	a.turnover.recordReleased(now, bytes)
+	a.Hold(KindAnswer, -bytes)
+	a.workspaces[r.workspace].held -= bytes
+	r.answerBytes -= bytes
+}
+
 // Release ends a reservation. It has no effect on one that has ended.
 func (a *Account) Release(now time.Time, r *Reservation) {
 	if r.state == stateEnded {
--- a/internal/core/memory/account_test.go
+++ b/internal/core/memory/account_test.go
@@ -215,3 +215,42 @@
 		t.Errorf("refused %v, evicted %v, peak %d", l.refused, l.evicted, l.peak)
 	}
 }
+
+// Answers that callers leave unread fill the account but for the reserve, from which small
+// answers are still held.
+func TestUnreadAnswersLeaveTheReserveToOthers(t *testing.T) {
+	a := NewAccount(100 * mebibyte)
+	held := 0
+	for range 60 {
+		r, _, err := a.Reserve(start, "hot", 32<<10)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a.ReserveAnswer(r, mebibyte) {
+			t.Error("an answer was held before its request was received")
+		}
+		if err := a.Received(start, r); err != nil {
+			t.Fatal(err)
+		}
+		if a.ReserveAnswer(r, 3*mebibyte) {
+			held++
+		}
+	}
+	if a.Free() < a.reserve || held < 20 {
+		t.Errorf("%d answers are held and %d bytes free", held, a.Free())
+	}
+	calm, _, err := a.Reserve(start, "calm", 32<<10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Received(start, calm); err != nil {
+		t.Fatal(err)
+	}
+	if !a.ReserveAnswer(calm, 3*mebibyte) {
+		t.Error("the answer of a workspace that holds less was not held")
+	}
+	a.ReleaseAnswer(start, calm, 3*mebibyte)
+	if got := a.HeldBy("calm"); got != 32<<10 {
+		t.Errorf("%d bytes are held after the answer was given back", got)
+	}
+}
--- a/internal/core/memory/room.go
+++ b/internal/core/memory/room.go
@@ -24,10 +24,7 @@
 	asked := request{
 		reservation: r, bytes: bytes, after: a.HeldBy(r.workspace) + bytes, isSmall: r.bytes+bytes <= SmallCallBytes,
 	}
-	room := a.limit
-	if !a.mayUseReserve(asked) {
-		room -= a.reserve
-	}
+	room := a.room(asked)
 	missing := a.held + bytes - room
 	if missing <= 0 {
 		return nil, nil
@@ -46,6 +43,14 @@
 	return victims, nil
 }
 
+// room returns how many bytes may be held with a request.
+func (a *Account) room(asked request) int64 {
+	if a.mayUseReserve(asked) {
+		return a.limit
+	}
+	return a.limit - a.reserve
+}
+
 // mayUseReserve reports whether a request is small, the only one of its workspace, or of
 // a workspace that would hold no more than another one.
 func (a *Account) mayUseReserve(asked request) bool {
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -154,6 +154,12 @@
 	Begin(status int, header Header) error
 	// Write sends a part of the body to the caller without buffering.
 	Write(part []byte) error
+	// Reserve reports whether there is memory to hold that many more bytes of the answer
+	// before they are written. They are held until Unreserve or the call's end. It is safe
+	// for concurrent use.
+	Reserve(bytes int64) bool
+	// Unreserve gives back bytes that Reserve holds. It is safe for concurrent use.
+	Unreserve(bytes int64)
 	// Begun reports whether Begin was called: the caller may have received a byte.
 	Begun() bool
 	// CallerGone reports whether the caller has hung up. The call's context shows
