Stream origins: a checkpoint whose write got no answer is removed too

What operators would see: an object of kind hawthornstream-origins that stays in the store after a release, though its daemon is alive.

Cause: a daemon took the store to hold its checkpoint only after a write that was answered. A write without an answer may have taken effect.

Change: from the decision to write on, the store may hold a checkpoint.

--- a/internal/app/dispatch/checkpoints.go
+++ b/internal/app/dispatch/checkpoints.go
@@ -147,9 +147,9 @@
 	c.table.ObserveEra(era)
 	for _, checkpoint := range checkpoints {
 		entries := entriesOf(checkpoint.Groups)
-		for _, r := range entries {
-			c.restored.Record(now, r.Attempt, r.Origin)
-			c.versionsLocked(r.Origin.Service).Observe(now, r.Origin.SoftwareVersion)
+		for _, entry := range entries {
+			c.restored.Record(now, entry.Attempt, entry.Origin)
+			c.versionsLocked(entry.Origin.Service).Observe(now, entry.Origin.SoftwareVersion)
 		}
 		if checkpoint.Daemon == self {
 			c.table.Restore(now, entries)
@@ -330,14 +330,14 @@
 func groupsOf(entries []streamorigin.CheckpointEntry) []ports.StreamOriginGroup {
 	var groups []ports.StreamOriginGroup
 	index := make(map[streamorigin.Origin]int)
-	for _, r := range entries {
-		at, ok := index[r.Origin]
+	for _, entry := range entries {
+		at, ok := index[entry.Origin]
 		if !ok {
 			at = len(groups)
-			index[r.Origin] = at
-			groups = append(groups, ports.StreamOriginGroup{Service: r.Origin.Service, SoftwareVersion: r.Origin.SoftwareVersion})
+			index[entry.Origin] = at
+			groups = append(groups, ports.StreamOriginGroup{Service: entry.Origin.Service, SoftwareVersion: entry.Origin.SoftwareVersion})
 		}
-		groups[at].Attempts = append(groups[at].Attempts, uint64(r.Attempt))
+		groups[at].Attempts = append(groups[at].Attempts, uint64(entry.Attempt))
 	}
 	return groups
 }
--- a/internal/core/streamorigin/checkpoint.go
+++ b/internal/core/streamorigin/checkpoint.go
@@ -113,11 +113,11 @@
 // left in the store: they broke when that process ended.
 func (c *Checkpoint) Restore(now time.Time, entries []CheckpointEntry) {
 	c.stored, c.wasStored = true, true
-	for _, r := range entries {
-		if _, ok := c.streams[r.Attempt]; !ok {
-			c.streams[r.Attempt] = &checkpointStream{origin: r.Origin, beganAt: now, brokenAt: now}
+	for _, entry := range entries {
+		if _, ok := c.streams[entry.Attempt]; !ok {
+			c.streams[entry.Attempt] = &checkpointStream{origin: entry.Origin, beganAt: now, brokenAt: now}
 		}
-		c.written[r.Attempt] = true
+		c.written[entry.Attempt] = true
 	}
 }
 
@@ -178,6 +178,8 @@
 	case c.stored && !isNeeded:
 		return CheckpointRemove, nil
 	case isWriter && isDue:
+		// The write may take effect although it fails.
+		c.stored, c.wasStored = true, true
 		return CheckpointWrite, newestEntries(included)
 	case !isWriter && len(included) > 0:
 		return CheckpointShare, newestEntries(included)
@@ -201,7 +203,6 @@
 // RecordWritten records that the store holds the entries, as of an era.
 func (c *Checkpoint) RecordWritten(era uint64, entries []CheckpointEntry) {
 	c.ObserveEra(era)
-	c.stored, c.wasStored = true, true
 	clear(c.written)
 	if era < c.era {
 		return
--- a/internal/core/streamorigin/checkpoint_test.go
+++ b/internal/core/streamorigin/checkpoint_test.go
@@ -249,6 +249,21 @@
 	expect("removed", 3, 0)
 }
 
+// A write gets no answer and takes effect, and then one version is left.
+func TestCheckpointWhoseWriteGotNoAnswerIsRemoved(t *testing.T) {
+	now, c := time.Unix(1, 0), NewCheckpoint()
+	c.Begin(now, 1, Origin{"llm", "v1"})
+	for range 2 {
+		if action, _ := c.Next(now, severalOfLLM, true); action != CheckpointWrite {
+			t.Fatalf("got %v", action)
+		}
+	}
+	c.Complete(1)
+	if action, _ := c.Next(now, noneSeveral, true); action != CheckpointRemove {
+		t.Errorf("got %v", action)
+	}
+}
+
 // A daemon that is killed again before the callers have come back still knows the streams of
 // its first process, and drops them once no caller comes back.
 func TestStreamsOutliveSecondKill(t *testing.T) {
