--- a/internal/core/jsondepth/jsondepth.go
+++ b/internal/core/jsondepth/jsondepth.go
@@ -41,7 +41,7 @@
 	depth, copied := 0, int64(0)
 	for {
 		token, err := tokens.Token()
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && depth == 0 {
 			return append(limited, data[copied:]...), nil
 		}
 		if err != nil {
--- a/internal/core/jsondepth/jsondepth_test.go
+++ b/internal/core/jsondepth/jsondepth_test.go
@@ -37,6 +37,15 @@
 	}
 }
 
+// The tokens of a text may end where its arrays are still open.
+func TestLimitRefusesOpenText(t *testing.T) {
+	for _, text := range []string{"[", "[0,[]", `{"a":{}`, strings.Repeat("[", 20_000)} {
+		if limited, err := Limit([]byte(text)); err == nil {
+			t.Errorf("%.20s became %.20s", text, limited)
+		}
+	}
+}
+
 // Text within the limit stays as it is.
 func FuzzLimit(f *testing.F) {
 	for _, text := range []string{`[1,{"a":[]}]`, `{"a":1,"a":{"b":2}}`, `[1e999]`, "[", `{"a"`, `["\ud800"]`, "[1] 2"} {
