Hold nothing for the answer to HEAD

What callers saw: nothing yet; since the answer to HEAD of more than 4 MiB would have become a 502, and a smaller one held memory for a body that it doesn't have.

Cause: the length that such an answer names was taken for that of its body.

Test: TestAnswerToHeadNeedsNoMemoryForTheLengthThatItNames, which failed before.

--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -203,6 +203,10 @@
 // no more, whole is false and the rest is still to be read. Errors are those of ReadAll.
 func (e *Exchange) ReadReserved(limit int64, reserve func(int64) bool, unreserve func(int64)) (body []byte, whole bool, err error) {
 	length := e.Response.ContentLength
+	if e.Response.Body == http.NoBody {
+		// The answer to HEAD names the length of a body that it doesn't have.
+		length = 0
+	}
 	if length > limit {
 		return nil, false, &AnswerTooLargeError{Limit: limit}
 	}
