Grow the buffer of a body only if the body goes on

What callers saw: a body of unknown length that just filled its buffer asked for twice as much before its end was seen, and could be refused for that.

Cause: the end was looked for in a larger buffer.

Change: a full buffer is followed by a read of one byte.

--- a/internal/adapters/callerhttp/body.go
+++ b/internal/adapters/callerhttp/body.go
@@ -82,16 +82,23 @@
 		return body, err
 	}
 	var body []byte
+	var next [1]byte
 	for {
-		if len(body) == cap(body) {
-			grown, err := growBody(body, held)
-			if err != nil {
-				return nil, err
+		// A full buffer grows only if the body goes on.
+		free := body[len(body):cap(body)]
+		if len(free) == 0 {
+			free = next[:]
+		}
+		n, err := from.Read(free)
+		if n > 0 && len(body) == cap(body) {
+			grown, growErr := growBody(body, held)
+			if growErr != nil {
+				return nil, growErr
 			}
-			body = grown
+			body = append(grown, next[0])
+		} else {
+			body = body[:len(body)+n]
 		}
-		n, err := from.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
 		if eris.Is(err, io.EOF) {
 			return body, nil
 		}
