Stream origins: few daemons of a starting fleet read the records

All daemons that start together read the records of versions once, in the first five seconds: 195 requests after each start of a large fleet. Since daemons watch with one of each failure domain from the start, that one alone sees to the records until the watchers are known, and it waits until the daemons have had time to find each other (TestFewDaemonsOfStartingFleetReadRecords; before, 195 of 195 kept them).

--- a/internal/app/dispatch/versionevidence_test.go
+++ b/internal/app/dispatch/versionevidence_test.go
@@ -263,3 +263,23 @@
 		t.Errorf("%d more writes", after-writes)
 	}
 }
+
+// Hundreds of daemons start at once and read the list. One of each failure domain sees to
+// the records until some are known to watch.
+func TestFewDaemonsOfStartingFleetReadRecords(t *testing.T) {
+	f := newExchangeFleet(t, 3, 65)
+	keeping := make(map[ports.FailureDomain]int)
+	for _, daemon := range f.daemons {
+		m := f.managers[daemon.Name]
+		m.lists = newListExchange(&fakeListFeed{version: 7})
+		if m.keepsRecords(m.lists.startedAt) {
+			keeping[daemon.Domain]++
+		}
+		if m.keepsRecords(m.lists.startedAt.Add(startupPeriod)) {
+			t.Errorf("%s keeps records though it does not watch", daemon.Name)
+		}
+	}
+	if got := fmt.Sprint(keeping); got != "map[z0:1 z1:1 z2:1]" {
+		t.Errorf("got %s", got)
+	}
+}
--- a/internal/app/dispatch/versionrecords.go
+++ b/internal/app/dispatch/versionrecords.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"hawthornstream/internal/core/membership"
 	"hawthornstream/internal/core/streamorigin"
 	"hawthornstream/internal/pause"
 	"hawthornstream/internal/ports"
@@ -68,15 +69,24 @@
 		m.checkpoints.observeVersions(now, service, versions)
 		needsRecord = needsRecord || view.NeedsRecord(now)
 	}
-	if needsRecord && m.versions.records != nil && m.lists.keepsRecords(now, list) {
+	if needsRecord && m.versions.records != nil && m.keepsRecords(now) {
 		signal(m.versions.recordsDue)
 	}
 }
 
 // keepsRecords reports whether this daemon keeps what follows from the list at the
-// platform: if it reads the list there itself.
-func (l *listExchange) keepsRecords(now time.Time, own ports.ServerListDigest) bool {
-	return own.Watching || now.Sub(l.startedAt) < l.startupPeriod
+// platform: if it watches the list there, or until one does as the first of its failure
+// domain.
+func (m *Manager) keepsRecords(now time.Time) bool {
+	if m.listDigest().Watching {
+		return true
+	}
+	return m.lists.isStarting(now) && rankInDomain(m.directory.Self(), m.directory.Daemons()) == 0
+}
+
+// isStarting reports whether the other daemons may be unknown.
+func (l *listExchange) isStarting(now time.Time) bool {
+	return now.Sub(l.startedAt) < l.startupPeriod
 }
 
 // keepVersionRecords changes the records in the store when that is due, until the manager
@@ -88,7 +98,13 @@
 			return
 		case <-m.versions.recordsDue:
 		}
-		pause.For(m.versions.ctx, time.Duration(rand.Float64()*float64(maxRecordDelay)))
+		delay := time.Duration(rand.Float64() * float64(maxRecordDelay))
+		// Most daemons need not record anything once they know the others.
+		delay += max(0, membership.DiscoveryPeriod-time.Since(m.lists.startedAt))
+		pause.For(m.versions.ctx, delay)
+		if !m.keepsRecords(time.Now()) {
+			continue
+		}
 		err := m.updateVersionRecords()
 		if err != nil && m.versions.ctx.Err() == nil && m.limiter.Allow(eventVersionsUnrecorded, "") {
 			m.logger.Warn().Str("event", eventVersionsUnrecorded).Err(err).Msg("")
