Stream origins: checkpoints follow the record of versions too

What callers would see: all daemons end twice, and the old version has left before the second generation of daemons started. A stream that this one began is refused as unknown after the second end, since the record still names the old version.

Cause: whether checkpoints are kept followed from the list and the checkpoints that were read alone, not from the record of versions in the store.

Change: a service of which the daemon knows several possible versions by the record has its streams checkpointed. TestCheckpointIsWrittenWhileRecordTellsOfVersionThatLeft failed without it ("the store holds []").

--- a/internal/app/dispatch/checkpoints.go
+++ b/internal/app/dispatch/checkpoints.go
@@ -56,6 +56,8 @@
 	table    *streamorigin.Checkpoint
 	restored *streamorigin.Table
 	versions map[ports.ServiceName]*streamorigin.RecentVersions
+	// several are the services of which the daemon knows several versions by other means.
+	several map[ports.ServiceName]bool
 
 	// sweeper and failures belong to run.
 	sweeper  streamorigin.Sweeper
@@ -73,7 +75,7 @@
 		readBack: scope.Counter("stream_origins_read_back"),
 		loaded:   make(chan struct{}),
 		table:    streamorigin.NewCheckpoint(), restored: streamorigin.NewTable(streamorigin.MaxEntries),
-		versions: make(map[ports.ServiceName]*streamorigin.RecentVersions),
+		versions: make(map[ports.ServiceName]*streamorigin.RecentVersions), several: make(map[ports.ServiceName]bool),
 	}
 	if store == nil {
 		close(c.loaded)
@@ -246,14 +248,16 @@
 	}
 }
 
-// observeVersions records the software versions of the servers of a service.
-func (c *originCheckpoints) observeVersions(now time.Time, service ports.ServiceName, versions []string) {
+// observeVersions records the software versions of the servers of a service, and whether
+// streams of several may be in progress, which a record may tell of versions that have left.
+func (c *originCheckpoints) observeVersions(now time.Time, service ports.ServiceName, versions []string, several bool) {
 	if c.store == nil {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.versionsLocked(service).Observe(now, versions...)
+	c.several[service] = several
 }
 
 func (c *originCheckpoints) versionsLocked(service ports.ServiceName) *streamorigin.RecentVersions {
@@ -270,7 +274,7 @@
 func (c *originCheckpoints) severalLocked(now time.Time) map[ports.ServiceName]bool {
 	several := make(map[ports.ServiceName]bool)
 	for service, versions := range c.versions {
-		if versions.AreSeveral(now) {
+		if versions.AreSeveral(now) || c.several[service] {
 			several[service] = true
 		}
 	}
--- a/internal/app/dispatch/checkpoints_test.go
+++ b/internal/app/dispatch/checkpoints_test.go
@@ -200,6 +200,30 @@
 	}
 }
 
+// The old version has left before this daemon started, and no checkpoint tells of it. After
+// another end of all daemons its streams can't be told from those that begin now, unless
+// these are recorded.
+func TestCheckpointIsWrittenWhileRecordTellsOfVersionThatLeft(t *testing.T) {
+	m, now := newTestManager(t, twoVersions()[2:]...), time.Now()
+	store := newFakeOriginStore(m.directory.Self().Name)
+	c := useStore(m, store)
+	c.read(context.Background())
+	m.refresh()
+	c.recordEvent(now, newStream("s"), streamorigin.Origin{Service: "llm", SoftwareVersion: "v2"})
+	c.update(context.Background(), now, store.self)
+	if got := store.stored(store.self); len(got) > 0 {
+		t.Errorf("the store holds %v while one version is known", got)
+	}
+	m.mu.Lock()
+	m.versionViews["llm"].RecordRead(streamorigin.Record{Found: true, Versions: []string{"v1", "v2"}}, 0)
+	m.observeVersions(now, true)
+	m.mu.Unlock()
+	c.update(context.Background(), now, store.self)
+	if got := store.stored(store.self); len(got) != 1 {
+		t.Errorf("the store holds %v", got)
+	}
+}
+
 // In a large fleet, the streams of all daemons reach the store through a few of them, without
 // a message to another failure domain.
 func TestFewDaemonsWriteCheckpointsOfLargeFleet(t *testing.T) {
@@ -210,7 +234,7 @@
 		own.self = daemon.Name
 		c := useStore(f.managers[daemon.Name], &own)
 		c.read(ctx)
-		c.observeVersions(now, "llm", []string{"v1", "v2"})
+		c.observeVersions(now, "llm", []string{"v1", "v2"}, false)
 		c.recordEvent(now, newStream(fmt.Sprint("s", i)), streamorigin.Origin{Service: "llm", SoftwareVersion: "v1"})
 	}
 	for range 2 {
--- a/internal/app/dispatch/versionrecords.go
+++ b/internal/app/dispatch/versionrecords.go
@@ -65,7 +65,7 @@
 		}
 		versions := pool.SoftwareVersions()
 		view.Observe(now, streamorigin.ListObservation{Versions: versions, Era: list.Era, Fresh: isFresh})
-		m.checkpoints.observeVersions(now, service, versions)
+		m.checkpoints.observeVersions(now, service, versions, m.severalVersions(now, service))
 		needsRecord = needsRecord || view.NeedsRecord(now)
 	}
 	if needsRecord && m.versions.records != nil && m.lists.keepsRecords(now, list) {
