OPTIONS * is answered like other requests without a route

Callers got 200 without the ID of their attempt for OPTIONS with the target *, a success that no server gave. Cause: net/http answers it before the handler. TestTargetReachesServerAsWritten failed before with "the target of a whole server: status 200".

--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -128,13 +128,15 @@
 	connContext func(context.Context, net.Conn) context.Context,
 ) *http.Server {
 	return &http.Server{
-		Handler:           s.dialect.Handler(s.newHandler),
-		MaxHeaderBytes:    int(s.limits.MaxHeaderSize.Bytes()) + headerSlackBytes,
-		ReadHeaderTimeout: s.limits.ReceiveTimeout.Value(),
-		IdleTimeout:       idleTimeout + idleGrace,
-		ConnContext:       connContext,
-		ConnState:         s.connections.connState,
-		ErrorLog:          stdlog.New(&httpErrorLog{logLimiter: s.logLimiter, logger: s.logger}, "", 0),
+		Handler: s.dialect.Handler(s.newHandler),
+		// The dialect answers "OPTIONS *" like any other request.
+		DisableGeneralOptionsHandler: true,
+		MaxHeaderBytes:               int(s.limits.MaxHeaderSize.Bytes()) + headerSlackBytes,
+		ReadHeaderTimeout:            s.limits.ReceiveTimeout.Value(),
+		IdleTimeout:                  idleTimeout + idleGrace,
+		ConnContext:                  connContext,
+		ConnState:                    s.connections.connState,
+		ErrorLog:                     stdlog.New(&httpErrorLog{logLimiter: s.logLimiter, logger: s.logger}, "", 0),
 	}
 }
 
