Test of silent connections: both exchanges are open at once

Two goroutines each made a call and were meant to overlap, and the server held a connection after its first answer until a second one was opened.

--- a/internal/adapters/backendhttp/runonce_test.go
+++ b/internal/adapters/backendhttp/runonce_test.go
@@ -202,18 +202,23 @@
 // Open connections may all go silent at once. When one shows it, the idle ones to the
 // same server must not carry further calls.
 func TestSilentConnectionEndsIdleOnes(t *testing.T) {
-	var opened sync.WaitGroup
-	opened.Add(2)
-	server := startScriptedServer(t, &scriptedServer{
-		afterAnswer: func(*net.TCPConn) bool { opened.Done(); opened.Wait(); return true },
-		onSecond:    func(*net.TCPConn) {},
-	})
+	server := startScriptedServer(t, &scriptedServer{onSecond: func(*net.TCPConn) {}})
 	client := newTestClient(t)
-	var calls sync.WaitGroup
+	// Both exchanges are open at once, so that each has a connection of its own.
+	var exchanges []*Exchange
 	for range 2 {
-		calls.Go(func() { doWhole(t, client, newRunOnceRequest(server.address)) })
+		exchange, err := client.Do(testContext(t), newRunOnceRequest(server.address))
+		if err != nil {
+			t.Fatal(err)
+		}
+		exchanges = append(exchanges, exchange)
+	}
+	for _, exchange := range exchanges {
+		if _, err := exchange.ReadAll(10); err != nil {
+			t.Fatal(err)
+		}
+		exchange.Finish()
 	}
-	calls.Wait()
 	waitUntil(t, func() bool {
 		client.mu.Lock()
 		defer client.mu.Unlock()
