A relay's stop reaches connections that reuse an address

Callers could see what mends again: a call that is taken through a peer after the relaying daemon refuses calls, and is cut with the relay.

Cause: relayed connections are recorded by their address at both ends, and a record was removed by the address alone. The kernel may give the address of an ended connection to the next one before the goroutines of the first have ended (the serving daemon notices the end of a connection only when its handler returns). The first one's end then removed the record of the second, which is told of no stop.

Found by reading; no run showed it in service. Change: a record is removed only with its own connection.

Test: TestStopReachesConnectionThatReusesAnAddress failed before: "the relaying daemon tells of [], want 10.0.0.1:40001", "the stop is news for 0 connections, want 1".

--- a/internal/adapters/callerhttp/relaystop.go
+++ b/internal/adapters/callerhttp/relaystop.go
@@ -17,6 +17,7 @@
 
 // takenOverConn is a connection that this daemon serves for another one.
 type takenOverConn struct {
+	conn        net.Conn
 	takenOverAt time.Time
 	// relay is an overload.RelayState.
 	relay atomic.Uint32
@@ -53,7 +54,7 @@
 
 // add returns the record of a connection that was taken over now.
 func (t *takenOverConns) add(conn net.Conn) *takenOverConn {
-	added := &takenOverConn{takenOverAt: time.Now()}
+	added := &takenOverConn{conn: conn, takenOverAt: time.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conns[conn.RemoteAddr().String()] = added
@@ -65,9 +66,13 @@
 	if state != http.StateClosed && state != http.StateHijacked {
 		return
 	}
+	address := conn.RemoteAddr().String()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.conns, conn.RemoteAddr().String())
+	// A later connection may have the address already.
+	if known, ok := t.conns[address]; ok && known.conn == conn {
+		delete(t.conns, address)
+	}
 }
 
 // recordStop records the stop of the daemon that relays the connections with the
@@ -84,15 +89,15 @@
 	return news
 }
 
-// openRelays are the connections that this daemon relays, by the daemon that serves them
-// and this daemon's address toward it. It is safe for concurrent use.
+// openRelays are the connections that this daemon relays, by the daemon that serves them,
+// with this daemon's address toward it. It is safe for concurrent use.
 type openRelays struct {
 	mu     sync.Mutex
-	byPeer map[ports.DaemonID]map[string]bool
+	byPeer map[ports.DaemonID]map[net.Conn]string
 }
 
 func newOpenRelays() *openRelays {
-	return &openRelays{byPeer: make(map[ports.DaemonID]map[string]bool)}
+	return &openRelays{byPeer: make(map[ports.DaemonID]map[net.Conn]string)}
 }
 
 // add records a relayed connection until the returned function is called.
@@ -101,13 +106,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.byPeer[peer] == nil {
-		r.byPeer[peer] = make(map[string]bool)
+		r.byPeer[peer] = make(map[net.Conn]string)
 	}
-	r.byPeer[peer][address] = true
+	r.byPeer[peer][conn] = address
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		delete(r.byPeer[peer], address)
+		delete(r.byPeer[peer], conn)
 		if len(r.byPeer[peer]) == 0 {
 			delete(r.byPeer, peer)
 		}
@@ -119,8 +124,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	byPeer := make(map[ports.DaemonID][]string, len(r.byPeer))
-	for peer, addresses := range r.byPeer {
-		for address := range addresses {
+	for peer, conns := range r.byPeer {
+		for _, address := range conns {
 			byPeer[peer] = append(byPeer[peer], address)
 		}
 	}
--- a/internal/adapters/callerhttp/relaystop_test.go
+++ b/internal/adapters/callerhttp/relaystop_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"hawthornstream/internal/core/overload"
 	"hawthornstream/internal/ports"
 )
 
@@ -133,3 +134,41 @@
 	}
 	t.Fatalf("fewer than %d connections are %s", want, state)
 }
+
+// sameAddresses is a connection whose addresses an earlier one had, too.
+type sameAddresses struct {
+	net.Conn
+
+	// number tells connections from each other.
+	number int
+}
+
+func (sameAddresses) LocalAddr() net.Addr {
+	return &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 40001}
+}
+func (sameAddresses) RemoteAddr() net.Addr { return sameAddresses{}.LocalAddr() }
+
+// The kernel gives the port of a relayed connection that has just ended to the next one,
+// before the goroutines of the first have ended.
+func TestStopReachesConnectionThatReusesAnAddress(t *testing.T) {
+	first, second := &sameAddresses{number: 1}, &sameAddresses{number: 2}
+	address := second.LocalAddr().String()
+	relays := newOpenRelays()
+	remove := relays.add("peer", first)
+	defer relays.add("peer", second)()
+	remove()
+	if got := relays.addresses()["peer"]; len(got) != 1 || got[0] != address {
+		t.Errorf("the relaying daemon tells of %v, want %s", got, address)
+	}
+	conns := newTakenOverConns()
+	conns.add(first)
+	conns.add(second)
+	conns.connState(first, http.StateClosed)
+	if news := conns.recordStop([]string{address}, overload.RelayRefusing); news != 1 {
+		t.Errorf("the stop is news for %d connections, want 1", news)
+	}
+	conns.connState(second, http.StateClosed)
+	if len(conns.conns) != 0 {
+		t.Error("an ended connection is kept")
+	}
+}
