A request that arrives whole once calls are refused isn't run

Callers could see a call cut in the middle of its answer though it was passed on seconds after its daemon, or the daemon that relays it, began to refuse calls.

Cause: the stop is checked when the header is read, and the call is passed on when its body has arrived, up to limits.receiveTimeout later. A call that begins then may not end before the stop's time is over. Class: a decision of the stop that isn't checked again where it counts.

Found by reading; no run showed it in service. Change: checked again once the body has been read; the refusal ("not run", with a time to retry after) asks to close the connection.

Test: TestRequestThatArrivesWholeOnceCallsAreRefusedIsNotRun failed before: "relayed false: status 200, closes false", "relayed true: status 200, closes false".

--- a/internal/adapters/callerhttp/body.go
+++ b/internal/adapters/callerhttp/body.go
@@ -35,6 +35,20 @@
 	return int64(size)
 }
 
+// receiveBody reads the whole body. It returns a refusal if calls began to be refused
+// meanwhile.
+func (s *Server) receiveBody(w http.ResponseWriter, r *http.Request, in *IncomingRequest) ([]byte, *outcome.Refusal) {
+	body, refusal := s.readBody(w, r, in)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if refusal = s.stoppingRefusal(r.Context()); refusal != nil {
+		w.Header().Set("Connection", "close")
+		return nil, refusal
+	}
+	return body, nil
+}
+
 // readBody reads the whole body and enforces the limits on its size, on the time to
 // receive it, and on the memory that is held for callers.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, in *IncomingRequest) ([]byte, *outcome.Refusal) {
--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -130,7 +130,7 @@
 	if refusal := s.stoppingRefusal(r.Context()); refusal != nil {
 		return nil, refusal
 	}
-	in.ReadBody = func() ([]byte, *outcome.Refusal) { return s.readBody(w, r, in) }
+	in.ReadBody = func() ([]byte, *outcome.Refusal) { return s.receiveBody(w, r, in) }
 	if refusal := s.shedder.shedRefusal(); refusal != nil {
 		return nil, refusal
 	}
--- a/internal/adapters/callerhttp/relaystop_test.go
+++ b/internal/adapters/callerhttp/relaystop_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"hawthornstream/internal/core/memory"
 	"hawthornstream/internal/core/overload"
 	"hawthornstream/internal/ports"
 )
@@ -172,3 +173,48 @@
 		t.Error("an ended connection is kept")
 	}
 }
+
+// A caller was still sending the body when calls began to be refused. The call might not end
+// before the connection does.
+func TestRequestThatArrivesWholeOnceCallsAreRefusedIsNotRun(t *testing.T) {
+	for _, isRelayed := range []bool{false, true} {
+		late, idle := startHandoverDaemon(t, answerWith("late")), startHandoverDaemon(t, answerWith("idle"))
+		serving := late
+		if isRelayed {
+			idle.offerTo(late)
+			late.makeLate()
+			serving = idle
+		}
+		conn := late.dial(t)
+		head := "POST /services/registry/x HTTP/1.1\r\nHost: h\r\nAuthorization: " + bearerPrefix + testKey + "\r\nContent-Length: 4\r\n\r\n"
+		if _, err := io.WriteString(conn.conn, head+"bo"); err != nil {
+			t.Fatal(err)
+		}
+		for !serving.isReceiving() {
+			time.Sleep(time.Millisecond)
+		}
+		late.AnnounceStop()
+		late.RefuseCalls()
+		if isRelayed {
+			idle.waitForRelayStops(t, "refusing", 1)
+		}
+		if _, err := io.WriteString(conn.conn, "dy"); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(conn.reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+			t.Errorf("relayed %v: status %d, closes %v", isRelayed, response.StatusCode, response.Close)
+		}
+	}
+}
+
+// isReceiving reports whether the daemon reads the body of a request.
+func (d *handoverDaemon) isReceiving() bool {
+	d.memory.mu.Lock()
+	defer d.memory.mu.Unlock()
+	return d.memory.account.Held(memory.KindReceiving) > 0
+}
