The stop of many relays is told in messages that the transport takes

Found by reading: a stopping daemon named all relays to one peer in one message. Above the transport's limit of 1.1 MiB, about 80,000 IPv4 or 26,000 IPv6 addresses, each of these messages is dropped (peer-message-rejected), the peer learns of no stop, and takes calls that are cut with the relay. limits.connections may be that large.

Change: at most 1,000 relays in a message.

Test: TestStopOfManyRelaysFitsIntoMessages failed before: "told of 200000 relays, in messages of up to 2800000 B".

--- a/internal/adapters/callerhttp/relaystop.go
+++ b/internal/adapters/callerhttp/relaystop.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,10 @@
 // daemon: a message may be lost, and a connection may have been handed over just before.
 const relayStopInterval = 200 * time.Millisecond
 
+// maxRelaysPerMessage keeps messages below the limit of the transport, which drops larger
+// ones.
+const maxRelaysPerMessage = 1000
+
 // takenOverConn is a connection that this daemon serves for another one.
 type takenOverConn struct {
 	conn        net.Conn
@@ -151,10 +156,7 @@
 	ticker := time.NewTicker(relayStopInterval)
 	defer ticker.Stop()
 	for {
-		refusesCalls := h.server.refusingCalls.Load()
-		for peer, addresses := range h.relaysByPeer.addresses() {
-			h.table.transport.Send(peer, &ports.RelayStop{Connections: addresses, RefusesCalls: refusesCalls})
-		}
+		h.sendStop()
 		select {
 		case <-h.stopped:
 			return
@@ -164,6 +166,16 @@
 	}
 }
 
+// sendStop tells peers once which of their connections this daemon relays.
+func (h *handover) sendStop() {
+	refusesCalls := h.server.refusingCalls.Load()
+	for peer, addresses := range h.relaysByPeer.addresses() {
+		for part := range slices.Chunk(addresses, maxRelaysPerMessage) {
+			h.table.transport.Send(peer, &ports.RelayStop{Connections: part, RefusesCalls: refusesCalls})
+		}
+	}
+}
+
 // announceRefusal lets peers know at once that this daemon refuses further calls.
 func (h *handover) announceRefusal() {
 	select {
--- a/internal/adapters/callerhttp/relaystop_test.go
+++ b/internal/adapters/callerhttp/relaystop_test.go
@@ -218,3 +218,30 @@
 	defer d.memory.mu.Unlock()
 	return d.memory.account.Held(memory.KindReceiving) > 0
 }
+
+// A daemon with room for a million connections stops while nearly all new ones are handed
+// over to one peer. The transport drops messages above its limit.
+func TestStopOfManyRelaysFitsIntoMessages(t *testing.T) {
+	const relays = 200_000
+	var told int
+	var largest int
+	linked := &linkedTransport{}
+	linked.Handle(ports.KindRelayStop, nil, func(_ ports.DaemonID, message ports.Message) {
+		connections := message.(*ports.RelayStop).Connections
+		told += len(connections)
+		size := 0
+		for _, address := range connections {
+			size += len(address)
+		}
+		largest = max(largest, size)
+	})
+	late := startHandoverDaemon(t, answerWith("late"))
+	late.transport.link("peer", linked)
+	for i := range relays {
+		late.handover.relaysByPeer.add("peer", &sameAddresses{number: i})
+	}
+	late.handover.sendStop()
+	if told != relays || largest > 1<<16 {
+		t.Errorf("told of %d relays, in messages of up to %d B", told, largest)
+	}
+}
