A daemon without configuration takes no connections over

Callers of a late daemon could be answered "not-ready" though that daemon has a configuration: a peer that was just started has the most processor time to spare, offers it at once, and gets the connections before it can serve them.

That the peer isn't ready is known to the balancer and not to the daemon that hands connections over in its place.

Change: such a daemon closes connections of others unread, as when it stops (take_overs_refused, reason not-ready); the late daemon asks another one or serves them itself.

Test: TestDaemonWithoutConfigurationTakesNoConnectionsOver failed before: the answer is 503 "no configuration is in force yet", want "late".

--- a/internal/adapters/callerhttp/handover_test.go
+++ b/internal/adapters/callerhttp/handover_test.go
@@ -29,6 +29,15 @@
 
 // startHandoverDaemon starts a daemon of the failure domain "d".
 func startHandoverDaemon(t testing.TB, executor ports.Executor) *handoverDaemon {
+	t.Helper()
+	revision, err := configuration.NewRevision(1, "apply", "author", time.Time{}, testDocument())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startHandoverDaemonWith(t, executor, fixedConfiguration{revision: revision})
+}
+
+func startHandoverDaemonWith(t testing.TB, executor ports.Executor, source ports.ConfigurationSource) *handoverDaemon {
 	t.Helper()
 	s := &settings.Settings{
 		VM:     settings.VM{FailureDomain: "d"},
@@ -40,14 +49,10 @@
 			MaxProcessorWait: configuration.Duration(30 * time.Millisecond),
 		},
 	}
-	revision, err := configuration.NewRevision(1, "apply", "author", time.Time{}, testDocument())
-	if err != nil {
-		t.Fatal(err)
-	}
 	scope := tally.NewTestScope("", nil)
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	transport := &linkedTransport{}
-	server := New(s, fixedConfiguration{revision: revision}, executor, DefaultDialect(), NewHandoverTable(s, transport), scope, logger)
+	server := New(s, source, executor, DefaultDialect(), NewHandoverTable(s, transport), scope, logger)
 	if err := server.handover.run(s.Listen, nil, server.serve); err != nil {
 		t.Fatal(err)
 	}
@@ -335,3 +340,12 @@
 		t.Error("the late daemon keeps the connection")
 	}
 }
+
+// The peer was just started: it has processor time to spare, and nothing to serve by.
+func TestDaemonWithoutConfigurationTakesNoConnectionsOver(t *testing.T) {
+	late := startHandoverDaemon(t, answerWith("late"))
+	started := startHandoverDaemonWith(t, answerWith("started"), fixedConfiguration{})
+	started.offerTo(late)
+	late.makeLate()
+	late.mustAnswer(t, "late")
+}
--- a/internal/adapters/callerhttp/listener.go
+++ b/internal/adapters/callerhttp/listener.go
@@ -36,6 +36,7 @@
 	closeReasonConnectionLimit = "connection-limit"
 	closeReasonOverload        = "overload"
 	closeReasonStopping        = "stopping"
+	closeReasonNotReady        = "not-ready"
 )
 
 // sheddingListener is a listener that closes new connections whose requests would
--- a/internal/adapters/callerhttp/takeover.go
+++ b/internal/adapters/callerhttp/takeover.go
@@ -52,8 +52,11 @@
 // refusalReason returns why a connection is not taken over, or "".
 func (l *takeOverListener) refusalReason(conn net.Conn) string {
 	server := l.handover.server
-	if server.stopAnnounced.Load() {
+	switch {
+	case server.stopAnnounced.Load():
 		return closeReasonStopping
+	case server.configuration.Current() == nil:
+		return closeReasonNotReady
 	}
 	return server.closeReason(conn)
 }
