A daemon at its connection limit takes no connections over

Callers of a late daemon could be answered "too-many-connections" though that daemon has room: the peer that took the connection over was at its limit.

The peer takes connections over up to 1.2 times its limit, since it closes unread from there on only, and refuses each request on those above it. For its own callers that is better than a reset; a daemon that hands over has other peers and itself.

Found by reading; no run showed it in service. Change: from its limit on a daemon closes connections of others unread (take_overs_refused, reason connection-limit).

Test: TestDaemonAtItsConnectionLimitTakesNoConnectionsOver failed before: the answer is 503 "this VM has no room for another connection", want "late".

--- a/internal/adapters/callerhttp/connections.go
+++ b/internal/adapters/callerhttp/connections.go
@@ -47,6 +47,11 @@
 	return open
 }
 
+// isFull reports whether requests on another connection would be refused.
+func (l *connectionLimiter) isFull() bool {
+	return l.open.Load() >= l.limit
+}
+
 // shouldCloseAfterAnswer reports whether so many connections are open that each
 // should be closed after its next answer.
 func (l *connectionLimiter) shouldCloseAfterAnswer() bool {
--- a/internal/adapters/callerhttp/handover_test.go
+++ b/internal/adapters/callerhttp/handover_test.go
@@ -349,3 +349,14 @@
 	late.makeLate()
 	late.mustAnswer(t, "late")
 }
+
+// The peer has processor time to spare, and as many connections as it may have.
+func TestDaemonAtItsConnectionLimitTakesNoConnectionsOver(t *testing.T) {
+	late, full := startHandoverDaemon(t, answerWith("late")), startHandoverDaemon(t, answerWith("full"))
+	open := full.connections.limit
+	full.connections.add(open)
+	t.Cleanup(func() { full.connections.add(-open) })
+	full.offerTo(late)
+	late.makeLate()
+	late.mustAnswer(t, "late")
+}
--- a/internal/adapters/callerhttp/takeover.go
+++ b/internal/adapters/callerhttp/takeover.go
@@ -57,6 +57,8 @@
 		return closeReasonStopping
 	case server.configuration.Current() == nil:
 		return closeReasonNotReady
+	case server.connections.isFull():
+		return closeReasonConnectionLimit
 	}
 	return server.closeReason(conn)
 }
