Answers that begin after the announcement of a stop ask to close

Callers of a stopping daemon kept their connections after an answer that began during the announcement, if its call had arrived before; their next call there was refused, or crossed the end of the connection.

Cause: the header was decided when the call arrived. Found by reading. Change: decided again when the answer begins.

Test: TestAnswerThatBeginsAfterTheAnnouncementAsksToClose failed before: "relayed false: status 200, closes false, Keep-Alive timeout=5", "relayed true: status 200, closes false, Keep-Alive timeout=1".

--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -102,6 +102,15 @@
 	}
 }
 
+// updateConnectionHeader asks the caller to close its connection if that has become due
+// while the call was in progress.
+func (s *Server) updateConnectionHeader(header http.Header, r *http.Request) {
+	if _, shouldClose := isTakenOver(r.Context()); shouldClose || s.stopAnnounced.Load() {
+		header.Set("Connection", "close")
+		header.Del("Keep-Alive")
+	}
+}
+
 // keepAliveValue returns the value of the Keep-Alive header field for an idle timeout.
 func keepAliveValue(idleTimeout time.Duration) string {
 	return fmt.Sprintf("timeout=%d", int(idleTimeout.Seconds()))
@@ -142,7 +151,10 @@
 	call.DemandWeight = s.shedder.demandWeight()
 	s.openCalls.add(call)
 	defer s.openCalls.remove(call)
-	sink := newAnswerSink(w, connFromContext(r.Context()), held, func(header http.Header) { s.dialect.SetAnswerHeader(header, call.ID) })
+	sink := newAnswerSink(w, connFromContext(r.Context()), held, func(header http.Header) {
+		s.dialect.SetAnswerHeader(header, call.ID)
+		s.updateConnectionHeader(header, r)
+	})
 	result := s.executor.Execute(r.Context(), call, sink)
 	if result.Refusal == nil {
 		return
@@ -153,6 +165,7 @@
 		// not take a truncated answer for a complete one.
 		panic(http.ErrAbortHandler)
 	}
+	s.updateConnectionHeader(w.Header(), r)
 	s.dialect.WriteRefusal(w, call.ID, result.Refusal)
 }
 
--- a/internal/adapters/callerhttp/relaystop_test.go
+++ b/internal/adapters/callerhttp/relaystop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"time"
 
 	"hawthornstream/internal/core/memory"
+	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/core/overload"
 	"hawthornstream/internal/ports"
 )
@@ -245,3 +247,31 @@
 		t.Errorf("told of %d relays, in messages of up to %d B", told, largest)
 	}
 }
+
+// A call was in progress when the stop was announced, and its answer begins later.
+func TestAnswerThatBeginsAfterTheAnnouncementAsksToClose(t *testing.T) {
+	for _, isRelayed := range []bool{false, true} {
+		called, proceed := make(chan struct{}), make(chan struct{})
+		answer := executorFunc(func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) outcome.Result {
+			close(called)
+			<-proceed
+			return answerWith("answer")(ctx, call, sink)
+		})
+		late, idle := startHandoverDaemon(t, answer), startHandoverDaemon(t, answer)
+		if isRelayed {
+			idle.offerTo(late)
+			late.makeLate()
+		}
+		go func() {
+			<-called
+			late.AnnounceStop()
+			if isRelayed {
+				idle.waitForRelayStops(t, "closing", 1)
+			}
+			close(proceed)
+		}()
+		if response := late.dial(t).exchange(); response.StatusCode != http.StatusOK || !response.Close || response.Header.Get("Keep-Alive") != "" {
+			t.Errorf("relayed %v: status %d, closes %v, Keep-Alive %q", isRelayed, response.StatusCode, response.Close, response.Header.Get("Keep-Alive"))
+		}
+	}
+}
