--- a/internal/adapters/callerhttp/relaystop_test.go
+++ b/internal/adapters/callerhttp/relaystop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,9 @@
 	"testing"
 	"time"
 
+	"hawthornstream/internal/core/memory"
+	"hawthornstream/internal/core/outcome"
+	"hawthornstream/internal/core/overload"
 	"hawthornstream/internal/ports"
 )
 
@@ -133,3 +137,141 @@
 	}
 	t.Fatalf("fewer than %d connections are %s", want, state)
 }
+
+// sameAddresses is a connection whose addresses an earlier one had, too.
+type sameAddresses struct {
+	net.Conn
+
+	// number tells connections from each other.
+	number int
+}
+
+func (sameAddresses) LocalAddr() net.Addr {
+	return &net.TCPAddr{IP: net.IPv4(10, 0, 0, 1), Port: 40001}
+}
+func (sameAddresses) RemoteAddr() net.Addr { return sameAddresses{}.LocalAddr() }
+
+// The kernel gives the port of a relayed connection that has just ended to the next one,
+// before the goroutines of the first have ended.
+func TestStopReachesConnectionThatReusesAnAddress(t *testing.T) {
+	first, second := &sameAddresses{number: 1}, &sameAddresses{number: 2}
+	address := second.LocalAddr().String()
+	relays := newOpenRelays()
+	remove := relays.add("peer", first)
+	defer relays.add("peer", second)()
+	remove()
+	if got := relays.addresses()["peer"]; len(got) != 1 || got[0] != address {
+		t.Errorf("the relaying daemon tells of %v, want %s", got, address)
+	}
+	conns := newTakenOverConns()
+	conns.add(first)
+	conns.add(second)
+	conns.connState(first, http.StateClosed)
+	if news := conns.recordStop([]string{address}, overload.RelayRefusing); news != 1 {
+		t.Errorf("the stop is news for %d connections, want 1", news)
+	}
+	conns.connState(second, http.StateClosed)
+	if len(conns.conns) != 0 {
+		t.Error("an ended connection is kept")
+	}
+}
+
+// A caller was still sending the body when calls began to be refused. The call might not end
+// before the connection does.
+func TestRequestThatArrivesWholeOnceCallsAreRefusedIsNotRun(t *testing.T) {
+	for _, isRelayed := range []bool{false, true} {
+		late, idle := startHandoverDaemon(t, answerWith("late")), startHandoverDaemon(t, answerWith("idle"))
+		serving := late
+		if isRelayed {
+			idle.offerTo(late)
+			late.makeLate()
+			serving = idle
+		}
+		conn := late.dial(t)
+		head := "POST /services/registry/x HTTP/1.1\r\nHost: h\r\nAuthorization: " + bearerPrefix + testKey + "\r\nContent-Length: 4\r\n\r\n"
+		if _, err := io.WriteString(conn.conn, head+"bo"); err != nil {
+			t.Fatal(err)
+		}
+		for !serving.isReceiving() {
+			time.Sleep(time.Millisecond)
+		}
+		late.AnnounceStop()
+		late.RefuseCalls()
+		if isRelayed {
+			idle.waitForRelayStops(t, "refusing", 1)
+		}
+		if _, err := io.WriteString(conn.conn, "dy"); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(conn.reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+			t.Errorf("relayed %v: status %d, closes %v", isRelayed, response.StatusCode, response.Close)
+		}
+	}
+}
+
+// isReceiving reports whether the daemon reads the body of a request.
+func (d *handoverDaemon) isReceiving() bool {
+	d.memory.mu.Lock()
+	defer d.memory.mu.Unlock()
+	return d.memory.account.Held(memory.KindReceiving) > 0
+}
+
+// A daemon with room for a million connections stops while nearly all new ones are handed
+// over to one peer. The transport drops messages above its limit.
+func TestStopOfManyRelaysFitsIntoMessages(t *testing.T) {
+	const relays = 200_000
+	var told int
+	var largest int
+	linked := &linkedTransport{}
+	linked.Handle(ports.KindRelayStop, nil, func(_ ports.DaemonID, message ports.Message) {
+		connections := message.(*ports.RelayStop).Connections
+		told += len(connections)
+		size := 0
+		for _, address := range connections {
+			size += len(address)
+		}
+		largest = max(largest, size)
+	})
+	late := startHandoverDaemon(t, answerWith("late"))
+	late.transport.link("peer", linked)
+	for i := range relays {
+		late.handover.relaysByPeer.add("peer", &sameAddresses{number: i})
+	}
+	late.handover.sendStop()
+	if told != relays || largest > 1<<16 {
+		t.Errorf("told of %d relays, in messages of up to %d B", told, largest)
+	}
+}
+
+// A call was in progress when the stop was announced, and its answer begins later.
+func TestAnswerThatBeginsAfterTheAnnouncementAsksToClose(t *testing.T) {
+	for _, isRelayed := range []bool{false, true} {
+		called, proceed := make(chan struct{}), make(chan struct{})
+		answer := executorFunc(func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) outcome.Result {
+			close(called)
+			<-proceed
+			return answerWith("answer")(ctx, call, sink)
+		})
+		late, idle := startHandoverDaemon(t, answer), startHandoverDaemon(t, answer)
+		if isRelayed {
+			idle.offerTo(late)
+			late.makeLate()
+		}
+		go func() {
+			<-called
+			late.AnnounceStop()
+			if isRelayed {
+				idle.waitForRelayStops(t, "closing", 1)
+			}
+			close(proceed)
+		}()
+		if response := late.dial(t).exchange(); response.StatusCode != http.StatusOK || !response.Close || response.Header.Get("Keep-Alive") != "" {
+			t.Errorf("relayed %v: status %d, closes %v, Keep-Alive %q", isRelayed, response.StatusCode, response.Close, response.Header.Get("Keep-Alive"))
+		}
+	}
+}
