Revert the trials of quarantined calls

By reading: a trial asks for a call that may be repeated, and streams that may be resumed aren't marked so by the platform's adapter. So it releases no part of a prompt there, and whether its ends stay within what callers can bear isn't shown.

--- a/internal/app/dispatch/acquire.go
+++ b/internal/app/dispatch/acquire.go
@@ -246,7 +246,6 @@
 	if choice.CacheHolder != nil {
 		s.grantDetails.CacheHolder = choice.CacheHolder.VM().Address
 	}
-	m.beginTrial(now, s)
 	return s
 }
 
--- a/internal/app/dispatch/exchange.go
+++ b/internal/app/dispatch/exchange.go
@@ -56,7 +56,6 @@
 		m.exchange.limitsQueuedAt = now
 		m.notices.QueueLimits(now)
 	}
-	m.quarantine.UpdateTurns(now, reportDelay(len(topology.SameDomain), len(daemons)))
 	message := m.newLoadMessage(now, digest)
 	message.SetEvacuations(evacuations)
 	if m.handover != nil {
--- a/internal/app/dispatch/manager.go
+++ b/internal/app/dispatch/manager.go
@@ -87,7 +87,6 @@
 	leavingCallCounter    *metrics.CounterVec
 	quarantineCounter     *metrics.CounterVec
 	callQuarantineCounter *metrics.CounterVec
-	trialCounter          *metrics.CounterVec
 	directory             ports.Directory
 	transport             ports.PeerTransport
 	configuration         ports.ConfigurationSource
@@ -155,7 +154,6 @@
 		leavingCallCounter:    metrics.NewCounterVec(scope, "spillover_calls", "service", "from", "to", "reason"),
 		quarantineCounter:     metrics.NewCounterVec(scope, "prompt_parts_quarantined", "source"),
 		callQuarantineCounter: metrics.NewCounterVec(scope, "calls_quarantined", "source"),
-		trialCounter:          metrics.NewCounterVec(scope, "quarantine_trials", "result"),
 		directory:             p.Directory,
 		transport:             p.Transport,
 		configuration:         p.Configuration,
--- a/internal/app/dispatch/peer_messages_fuzz_test.go
+++ b/internal/app/dispatch/peer_messages_fuzz_test.go
@@ -37,8 +37,6 @@
 			SoundAnswers:   []ports.SoundAnswer{{Part: 1, AgeMillis: least}},
 			SignsOfLife:    []ports.SignOfLife{{Server: 1, AgeMillis: most}},
 			QuarantineEnds: []ports.ServerEnd{{}},
-
-			QuarantineTrials: []ports.QuarantineTrial{{Part: 1, AgeMillis: least}, {Part: 1, AgeMillis: most}},
 			ServerLimits: []ports.ServerLimitReport{
 				{Server: "e1", StartedMillis: 1, IsSet: true, RequestsPerSecond: math.NaN(), AgeMillis: least},
 				{Server: "e2", StartedMillis: 2, IsSet: true, RequestsPerSecond: math.Inf(1), AgeMillis: most},
--- a/internal/app/dispatch/quarantine.go
+++ b/internal/app/dispatch/quarantine.go
@@ -42,9 +42,6 @@
 		if !ok {
 			continue
 		}
-		if m.mayTry(now, w) {
-			return nil
-		}
 		refusal := &outcome.Refusal{
 			Reason: outcome.ReasonPartQuarantined, End: outcome.NotRun,
 			Detail: "a part of the prompt ended the backend servers that ran it", RetryAfter: until.Sub(now),
@@ -123,11 +120,6 @@
 			Part: uint64(sound.Cause), AgeMillis: ageMillis(now, sound.At),
 		})
 	}
-	for _, trial := range updates.Trials {
-		message.QuarantineTrials = append(message.QuarantineTrials, ports.QuarantineTrial{
-			Part: uint64(trial.Cause), AgeMillis: ageMillis(now, trial.At),
-		})
-	}
 	for _, life := range updates.Lives {
 		message.SignsOfLife = append(message.SignsOfLife, ports.SignOfLife{
 			Server: uint64(life.Server), AgeMillis: ageMillis(now, life.At),
@@ -179,11 +171,6 @@
 			Server: quarantine.ServerInstance(life.Server), At: timeOfAge(now, life.AgeMillis),
 		})
 	}
-	for _, trial := range message.QuarantineTrials {
-		updates.Trials = append(updates.Trials, quarantine.Trial{
-			Cause: quarantine.CauseHash(trial.Part), At: timeOfAge(now, trial.AgeMillis),
-		})
-	}
 	quarantined, released := m.quarantine.Merge(now, updates, fromDomain)
 	for _, cause := range quarantined {
 		m.logQuarantined(cause, quarantinedByEnds)
--- a/internal/app/dispatch/slot.go
+++ b/internal/app/dispatch/slot.go
@@ -29,8 +29,6 @@
 	// once the answer has shown that the call is sound.
 	answerBeganAt time.Time
 	soundRecorded bool
-	// isTrial says that the call is quarantined and runs to show whether it is sound.
-	isTrial bool
 }
 
 // Server implements ports.Slot.
@@ -89,6 +87,5 @@
 		s.manager.shares.CancelGrant(now, s.grant)
 	}
 	s.recordCauses(now, report)
-	s.recordTrialEnd(report)
 	return s.booking.RecordEnd(now, report.Fault)
 }
--- a/internal/core/dispatch/pool.go
+++ b/internal/core/dispatch/pool.go
@@ -139,17 +139,6 @@
 	return slices.ContainsFunc(p.servers, func(s *Server) bool { return s.mayRun(work) })
 }
 
-// CountAccepting returns the number of servers that accept the call now.
-func (p *Pool) CountAccepting(now time.Time, work *Work) int {
-	count := 0
-	for _, server := range p.servers {
-		if server.accepts(now, work) {
-			count++
-		}
-	}
-	return count
-}
-
 // SoftwareVersions returns the distinct software versions of all servers in the list,
 // leaving ones included, in ascending order.
 func (p *Pool) SoftwareVersions() []string {
--- a/internal/core/quarantine/cause.go
+++ b/internal/core/quarantine/cause.go
@@ -23,8 +23,7 @@
 	// callEndLifetime is the same for whole calls, which may come again after minutes. A
 	// sound call has a sound answer when it does.
 	callEndLifetime = 10 * time.Minute
-	// quarantineTime is the time from the last end to the end of a quarantine without a
-	// sound trial. After
+	// quarantineTime is the time from the last end to the end of the quarantine. After
 	// it, a single further end quarantines the cause again, for repeatMemory.
 	quarantineTime = 10 * time.Minute
 	repeatMemory   = time.Hour
@@ -48,8 +47,6 @@
 	// the last end then; zero if the cause never was quarantined.
 	quarantined   bool
 	quarantinedAt time.Time
-	// trialAt is the start of the latest trial at any daemon.
-	trialAt time.Time
 }
 
 // isSuspected reports whether ends count against the cause, or did within repeatMemory.
@@ -98,7 +95,7 @@
 // release clears the ends and reports whether the cause was quarantined.
 func (c *cause) release(now time.Time) bool {
 	was := c.isQuarantined(now)
-	c.ends, c.quarantined, c.trialAt = nil, false, time.Time{}
+	c.ends, c.quarantined = nil, false
 	return was
 }
 
@@ -134,13 +131,7 @@
 		c.ends = slices.DeleteFunc(c.ends, func(e ServerEnd) bool { return now.Sub(e.At) >= c.endLifetime() })
 	}
 	c.addEnd(end)
-	if c.isQuarantined(now) {
-		if end.At.After(c.quarantinedAt) {
-			c.quarantinedAt = end.At
-		}
-		return false
-	}
-	if c.countApart() < c.requiredEnds(now) {
+	if c.isQuarantined(now) || c.countApart() < c.requiredEnds(now) {
 		return false
 	}
 	c.quarantined, c.quarantinedAt = true, end.At
--- a/internal/core/quarantine/doc.go
+++ b/internal/core/quarantine/doc.go
@@ -13,8 +13,4 @@
 // An answer that lasted, or was whole, clears its causes. Daemons tell each other of all
 // three. A cause is quarantined after the ends of several servers, apart in time, without a
 // sound answer since. What a quarantined call ended counts against no other call.
-//
-// Sound causes that were quarantined get no calls, and so no sound answer. One call at a
-// time in the whole fleet runs as a trial, some while after the last end: a sound answer
-// releases its causes, and a further end doubles the while.
 package quarantine
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -89,14 +89,12 @@
 	Ends   []ServerEnd
 	Sounds []SoundAnswer
 	Lives  []SignOfLife
-	Trials []Trial
 }
 
 func (u *Updates) add(other Updates) {
 	u.Ends = append(u.Ends, other.Ends...)
 	u.Sounds = append(u.Sounds, other.Sounds...)
 	u.Lives = append(u.Lives, other.Lives...)
-	u.Trials = append(u.Trials, other.Trials...)
 }
 
 // Table records the causes that are suspected, quarantined or known to be sound. It is not
@@ -112,7 +110,6 @@
 	// domain are the updates for the other daemons of this failure domain, crossDomain
 	// those for other domains.
 	domain, crossDomain Updates
-	turns               Turns
 }
 
 // NewTable returns an empty table.
@@ -177,9 +174,6 @@
 	for _, life := range updates.Lives {
 		released = append(released, t.recordLife(now, life)...)
 	}
-	for _, trial := range updates.Trials {
-		t.recordTrial(now, trial)
-	}
 	if fromDomain {
 		t.crossDomain.add(updates)
 	}
@@ -253,18 +247,14 @@
 	return quarantined
 }
 
-// QuarantinedUntil returns when a trial may release a quarantined cause; false if it isn't
+// QuarantinedUntil returns when the quarantine of a cause ends; false if it isn't
 // quarantined.
 func (t *Table) QuarantinedUntil(now time.Time, hash CauseHash) (time.Time, bool) {
-	if !t.isQuarantined(now, hash) {
+	c, ok := t.causes[hash]
+	if !ok || !c.isQuarantined(now) {
 		return time.Time{}, false
 	}
-	c := t.causes[hash]
-	until := c.lastEnd().Add(c.trialWait())
-	if !until.After(now) {
-		return now.Add(max(t.turns.reportDelay, time.Second)), true
-	}
-	return until, true
+	return c.quarantinedAt.Add(quarantineTime), true
 }
 
 func (t *Table) recordEnd(now time.Time, end ServerEnd) bool {
--- a/internal/ports/dispatch_messages.go
+++ b/internal/ports/dispatch_messages.go
@@ -32,9 +32,6 @@
 	// QuarantineEnds are the ends of all parts whose calls the sender refuses. They are
 	// present in the messages with Rates.
 	QuarantineEnds []ServerEnd `cbor:"11,keyasint,omitempty"`
-	// QuarantineTrials are the trials of quarantined parts and calls that began since the
-	// sender's last message to the receiver.
-	QuarantineTrials []QuarantineTrial `cbor:"21,keyasint,omitempty"`
 	// ServerLimits are the limits of backend servers that the sender has learned of, or
 	// that were confirmed to it, since its last message to the receiver.
 	ServerLimits []ServerLimitReport `cbor:"13,keyasint,omitempty"`
@@ -72,13 +69,6 @@
 	AgeMillis int64
 }
 
-// QuarantineTrial reports that a call with a quarantined part was let through.
-type QuarantineTrial struct {
-	_         struct{} `cbor:",toarray"`
-	Part      uint64
-	AgeMillis int64
-}
-
 // ServerEnd reports that a backend server broke the connection of a run with a prompt
 // part before the run had a sound answer.
 type ServerEnd struct {
