Soak: broken streams are compared event by event, and servers fail in three more ways

The soak compared streams only where they ended whole and counted their events, so that what came of a broken stream was never seen. Its streams now last up to two seconds; each event of each answer must be the one that is due, and an answer with a server's seal must have a status that a server gave. Servers also answer with errors of the client, break off within the head of an answer, and refuse a second request with the refusal of the first; all servers can fail at once, so that one call meets several failures, and all daemons can be killed at once. -faults limits a run to some faults.

--- a/testbench/cmd/soak/main.go
+++ b/testbench/cmd/soak/main.go
@@ -3,7 +3,7 @@
 //
 // Usage:
 //
-//	soak [-seed N] [-seeds N] [-for 20s] [-daemons N] [-callers N] [-servers N] [-silent-servers] [-keep DIR] [-v]
+//	soak [-seed N] [-seeds N] [-for 20s] [-daemons N] [-callers N] [-servers N] [-silent-servers] [-faults REGEXP] [-keep DIR] [-v]
 //
 // Without -seed, the first seed is random. The exit code is 1 when a guarantee was
 // violated or a run could not be started; the logs of such a seed are kept.
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"regexp"
 	"time"
 
 	"hawthornstream/testbench/fleet"
@@ -33,9 +34,15 @@
 	callers := flag.Int("callers", 20, "the number of callers")
 	servers := flag.Int("servers", 3, "the number of backend servers of each service")
 	silentServers := flag.Bool("silent-servers", false, "only pause backend servers and change the configuration; no call may end without an answer")
+	faults := flag.String("faults", "", "inject only the faults whose name matches the `regexp`; empty for all")
 	keep := flag.String("keep", os.TempDir(), "the `directory` for the logs of failed seeds")
 	verbose := flag.Bool("v", false, "report each injected fault")
 	flag.Parse()
+	chosenFaults, err := regexp.Compile(*faults)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
 	defer fleet.RemoveBinaries()
 	if *firstSeed == 0 {
 		*firstSeed = rand.Uint64N(1 << 32)
@@ -44,8 +51,8 @@
 	for i := range uint64(*seedCount) {
 		options := soak.Options{
 			Seed: *firstSeed + i, Daemons: *daemons, Callers: *callers, ServersPerService: *servers, FaultDuration: *faultDuration,
-			SilentServersOnly: *silentServers,
-			Directory:         filepath.Join(*keep, fmt.Sprintf("soak-%d", *firstSeed+i)),
+			SilentServersOnly: *silentServers, Faults: chosenFaults,
+			Directory: filepath.Join(*keep, fmt.Sprintf("soak-%d", *firstSeed+i)),
 		}
 		if *verbose {
 			options.Logf = func(format string, values ...any) { fmt.Printf(format+"\n", values...) }
--- a/testbench/soak/backends.go
+++ b/testbench/soak/backends.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"regexp"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -14,24 +13,21 @@
 	"hawthornstream/platform/platformtest"
 )
 
-// streamEventCount is the number of events of a complete stream.
-const streamEventCount = 8
+const (
+	// streamEventCount is the number of events of a complete stream, and maxEventInterval
+	// the exclusive upper bound of the pause after each of them. It is the same for all
+	// events of an answer.
+	streamEventCount = 24
+	maxEventInterval = 80 * time.Millisecond
+)
 
 // softwareVersions is the number of software versions that serve side by side in a
 // service.
 const softwareVersions = 2
 
-// expectedBody returns the body of the complete answer to a call, without the software
-// versions in the events of a stream.
-func expectedBody(c call) string {
-	if !c.kind.stream {
-		return "answer to " + c.id
-	}
-	body := ""
-	for event := c.lastEvent + 1; event <= streamEventCount; event++ {
-		body += streamEvent(c.streamID(), event, "")
-	}
-	return body
+// plainBody returns the body of the answer of a plain service.
+func plainBody(id string) string {
+	return "answer to " + id
 }
 
 // streamEvent returns an event of a stream. It tells the software version of the server
@@ -43,17 +39,6 @@
 	return fmt.Sprintf("id: %d\ndata: %s piece %d%s\n\n", event, streamID, event, version)
 }
 
-var eventVersion = regexp.MustCompile(` of (v[0-9]+)\n`)
-
-// splitVersions returns the body of a stream without the software versions in its
-// events, and these versions.
-func splitVersions(body string) (text string, versions []string) {
-	for _, match := range eventVersion.FindAllStringSubmatch(body, -1) {
-		versions = append(versions, match[1])
-	}
-	return eventVersion.ReplaceAllString(body, "\n"), versions
-}
-
 // failureMode is the way in which a backend server fails.
 type failureMode int32
 
@@ -71,7 +56,17 @@
 	// neverAnswer runs the request and sends nothing until the client cancels it or
 	// the server closes.
 	neverAnswer
+	// clientError runs the request and answers with an error of the client.
+	clientError
+	// breakWithinHead runs the request and closes the connection within the head of the
+	// answer.
+	breakWithinHead
+	// declineTwice declines the request, runs the next one on the connection, and answers
+	// that with the same refusal.
+	declineTwice
 	failureModeCount
+	// anyFailure fails each request in another of the ways above.
+	anyFailure
 )
 
 // serverState is the state in the object of a backend server.
@@ -136,6 +131,11 @@
 	time.Sleep(time.Until(time.Unix(0, s.pausedUntil.Load())))
 }
 
+// recordRun records that the server runs a request.
+func (s *backendServer) recordRun(r *http.Request) {
+	s.checker.recordRun(s.Name, s.service, platformtest.AttemptID(r), platformtest.Workspace(r), platformtest.LastEventID(r) > 0)
+}
+
 func (s *backendServer) handle(w http.ResponseWriter, r *http.Request) {
 	s.limit.receive(w)
 	s.cold.receive(time.Now())
@@ -143,18 +143,31 @@
 	if rand.IntN(2) == 0 {
 		mode = noFailure
 	}
-	if mode == declineRequest {
+	if mode == anyFailure {
+		mode = failureMode(1 + rand.IntN(int(failureModeCount)-1))
+	}
+	switch mode {
+	case declineRequest:
 		platformtest.Decline(w)
 		return
+	case declineTwice:
+		s.declineTwice(w, r)
+		return
 	}
 	id, lastEvent := platformtest.AttemptID(r), platformtest.LastEventID(r)
-	s.checker.recordRun(s.Name, s.service, id, platformtest.Workspace(r), lastEvent > 0)
+	s.recordRun(r)
 	time.Sleep(time.Duration(rand.IntN(20)) * time.Millisecond)
 	switch mode {
 	case abortAfterRun:
 		panic(http.ErrAbortHandler)
 	case internalError:
-		w.WriteHeader(http.StatusInternalServerError)
+		s.sendError(w, id, http.StatusInternalServerError)
+		return
+	case clientError:
+		s.sendError(w, id, clientErrors[rand.IntN(len(clientErrors))])
+		return
+	case breakWithinHead:
+		s.breakWithinHead(w, id)
 		return
 	case neverAnswer:
 		select {
@@ -172,7 +185,7 @@
 		s.sendStream(w, platformtest.StreamID(r), lastEvent, mode == truncateAnswer)
 		return
 	}
-	body := "answer to " + id
+	body := plainBody(id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if mode == truncateAnswer {
 		if rand.IntN(2) == 0 {
@@ -193,11 +206,12 @@
 	if truncate {
 		end = lastEvent + rand.IntN(streamEventCount-lastEvent+1)
 	}
+	interval := time.Duration(rand.Int64N(int64(maxEventInterval)))
 	for event := lastEvent + 1; event <= end; event++ {
 		s.waitWhilePaused()
 		_, _ = io.WriteString(w, streamEvent(id, event, s.version))
 		w.(http.Flusher).Flush()
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(interval)
 	}
 	if truncate {
 		if rand.IntN(4) == 0 {
@@ -215,25 +229,19 @@
 
 // sendUnframed sends a whole answer without a length or chunks and closes the connection.
 func (s *backendServer) sendUnframed(w http.ResponseWriter, streamID, id string, lastEvent int) {
-	body, contentType := "answer to "+id, "text/plain"
+	body, contentType := plainBody(id), "text/plain"
 	if s.service == "llm" {
 		body, contentType = "", "text/event-stream"
 		for event := lastEvent + 1; event <= streamEventCount; event++ {
 			body += streamEvent(streamID, event, s.version)
 		}
 	}
-	header := w.Header().Clone()
-	header.Set("Content-Type", contentType)
-	conn, buffered, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
+	w.Header().Set("Content-Type", contentType)
+	head := rawHead(w, http.StatusOK)
+	conn, _ := hijack(w)
 	defer func() { _ = conn.Close() }()
 	// A failed write means that the daemon has closed the connection.
-	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\n")
-	_ = header.Write(buffered)
-	_, _ = buffered.WriteString("\r\n" + body)
-	_ = buffered.Flush()
+	_, _ = io.WriteString(conn, head+body)
 }
 
 // writeWithoutEnd writes bytes that are no answer until the daemon closes the connection,
--- a/testbench/soak/callers.go
+++ b/testbench/soak/callers.go
@@ -13,8 +13,12 @@
 	"hawthornstream/platform/platformtest"
 )
 
-// callTimeout is the usual timeout of a call.
-const callTimeout = 4 * time.Second
+const (
+	// callTimeout is the usual timeout of a call, and maxEarlyTimeout the longest one of a
+	// caller that hangs up early.
+	callTimeout     = 4 * time.Second
+	maxEarlyTimeout = 400 * time.Millisecond
+)
 
 // caller sends calls one after the other. It reuses its connections, without an idle
 // timeout, until the daemon process at the other end has exited.
@@ -60,8 +64,8 @@
 }
 
 // sendCall sends one call and checks its answer. The caller of about one call in 20
-// hangs up early, after at most 100 ms. A stream that may be resumed and breaks is
-// resumed.
+// hangs up early, after at most maxEarlyTimeout. A stream that may be resumed and breaks
+// is resumed.
 func (c *caller) sendCall(id string) {
 	next := call{
 		id: id, kind: callKinds[c.random.IntN(len(callKinds))], key: "key-1", workspace: "t1", timeout: callTimeout,
@@ -71,7 +75,7 @@
 		next.key, next.workspace = "key-2", "t2"
 	}
 	if c.random.IntN(20) == 0 {
-		next.timeout = time.Duration(c.random.IntN(100)+1) * time.Millisecond
+		next.timeout = time.Duration(1 + c.random.Int64N(int64(maxEarlyTimeout)))
 	}
 	next.lastEvent = c.send(next)
 	for try := 1; try <= maxResumptions; try++ {
@@ -114,16 +118,16 @@
 	if revoked && response.StatusCode == http.StatusOK {
 		c.checker.addViolation("configuration: %s was served with a revoked key", next.id)
 	}
-	if response.StatusCode == http.StatusUnauthorized && next.key == "key-1" || response.StatusCode == http.StatusNotFound {
+	hasSeal := platformtest.HasSeal(response)
+	if !hasSeal && (response.StatusCode == http.StatusUnauthorized && next.key == "key-1" || response.StatusCode == http.StatusNotFound) {
 		c.checker.addViolation("denied: %s was answered with status %d", next.id, response.StatusCode)
 	}
-	text, versions := splitVersions(string(body))
-	c.checker.recordStreamVersions(next.streamID(), versions, next.resumes != "")
-	c.checker.recordAnswer(next.id, response.StatusCode, err == nil, text, expectedBody(next), platformtest.HasSeal(response))
-	if len(versions) == 0 {
-		return 0
+	a := answer{status: response.StatusCode, isWhole: err == nil, body: string(body), hasSeal: hasSeal}
+	if next.kind.stream && a.status == http.StatusOK {
+		return c.checker.recordStream(next, a)
 	}
-	return next.lastEvent + len(versions)
+	c.checker.recordAnswer(next, a)
+	return 0
 }
 
 // checkAnswered records a violation if a call that must be answered ended with err before
--- a/testbench/soak/checker.go
+++ b/testbench/soak/checker.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -42,6 +44,8 @@
 	kind      callKind
 	workspace string
 	runCount  int
+	// serverStatuses are the error statuses with which backend servers answered.
+	serverStatuses []int
 	// neverRuns is set after a refusal, which guarantees that the call did not run
 	// and will not run.
 	neverRuns bool
@@ -94,39 +98,83 @@
 	}
 }
 
-// recordAnswer records the answer that a caller received. complete tells that the body
-// ended without an error.
-func (c *checker) recordAnswer(id string, status int, complete bool, body, expected string, hasSeal bool) {
+// recordServerStatus records the status of the error with which a backend server answers.
+func (c *checker) recordServerStatus(id string, status int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	call := c.calls[id]
+	if call, known := c.calls[id]; known {
+		call.serverStatuses = append(call.serverStatuses, status)
+	}
+}
+
+// answer is what a caller received in answer to a call.
+type answer struct {
+	status int
+	// isWhole tells that the body ended without an error.
+	isWhole bool
+	body    string
+	hasSeal bool
+}
+
+// recordAnswer records the answer to a call, unless it is that of a stream.
+func (c *checker) recordAnswer(sent call, a answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	call := c.calls[sent.id]
+	isRefusal := a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests
 	switch {
-	case status == 200 && complete && (body != expected || !hasSeal):
-		c.addViolationLocked("mixed: %s was answered with status 200 and body %q, seal %v", id, body, hasSeal)
-	case status == 200 && complete:
+	case a.status == http.StatusOK && a.isWhole && (a.body != plainBody(sent.id) || !a.hasSeal):
+		c.addViolationLocked("mixed: %s was answered with status 200 and body %q, seal %v", sent.id, a.body, a.hasSeal)
+	case a.status == http.StatusOK && a.isWhole:
 		c.completed++
-	case status == 503:
+	case a.hasSeal && a.status != http.StatusOK && !slices.Contains(call.serverStatuses, a.status):
+		c.addViolationLocked("mixed: %s was answered with status %d of no backend server", sent.id, a.status)
+	case a.hasSeal && a.isWhole && a.body != errorBody(sent.id, a.status):
+		c.addViolationLocked("mixed: %s was answered with status %d and body %q", sent.id, a.status, a.body)
+	case isRefusal:
 		call.neverRuns = true
 		if call.runCount > 0 && !call.kind.repeatable {
-			c.addViolationLocked("refused: %s was refused as not run, but it ran", id)
+			c.addViolationLocked("refused: %s was refused as not run, but it ran", sent.id)
 		}
 	}
 }
 
-// recordStreamVersions records the software versions of the events that a caller
-// received of a stream in one answer. resumed tells that it is not the first one.
-func (c *checker) recordStreamVersions(streamID string, versions []string, resumed bool) {
+// recordStream records the answer with events of a stream, whole or broken, and returns the
+// ID of its last event; zero for none.
+func (c *checker) recordStream(sent call, a answer) (lastEvent int) {
+	read := readStream(sent, a.body)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if resumed && len(versions) > 0 {
+	isComplete := read.lastEvent == streamEventCount && read.rest == ""
+	switch {
+	case read.problem != "":
+		c.addViolationLocked("order: stream %s after event %d: %s", sent.id, sent.lastEvent, read.problem)
+	case !a.hasSeal:
+		c.addViolationLocked("mixed: stream %s has no seal", sent.id)
+	case a.isWhole && !isComplete:
+		c.addViolationLocked("order: stream %s ended as complete after event %d", sent.id, read.lastEvent)
+	case a.isWhole:
+		c.completed++
+	}
+	c.recordVersionsLocked(sent, read.versions)
+	if len(read.versions) == 0 {
+		return 0
+	}
+	return read.lastEvent
+}
+
+// recordVersionsLocked records the software versions of the events in one answer. c.mu must
+// be held.
+func (c *checker) recordVersionsLocked(sent call, versions []string) {
+	if sent.resumes != "" && len(versions) > 0 {
 		c.resumed++
 	}
 	for _, version := range versions {
-		first, known := c.streamVersions[streamID]
+		first, known := c.streamVersions[sent.streamID()]
 		if !known {
-			c.streamVersions[streamID] = version
+			c.streamVersions[sent.streamID()] = version
 		} else if version != first {
-			c.addViolationLocked("order: stream %s has events of software versions %s and %s", streamID, first, version)
+			c.addViolationLocked("order: stream %s has events of software versions %s and %s", sent.streamID(), first, version)
 			return
 		}
 	}
--- a/testbench/soak/faults.go
+++ b/testbench/soak/faults.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"hawthornstream/platform/platformtest"
@@ -18,6 +20,7 @@
 // faults are the faults that a run chooses from. Several can be active at once.
 var faults = []fault{
 	{"daemon killed", (*soakRun).killDaemon},
+	{"all daemons killed", (*soakRun).killAllDaemons},
 	{"planned stop of a daemon", (*soakRun).stopDaemon},
 	{"daemon paused", (*soakRun).pauseDaemon},
 	{"daemon settings reloaded", (*soakRun).reloadSettings},
@@ -31,6 +34,7 @@
 	{"link to a backend server cut in one direction", (*soakRun).cutServerLink},
 	{"link to a backend server slow", (*soakRun).delayServerLink},
 	{"backend server fails requests", (*soakRun).failServer},
+	{"all backend servers fail requests", (*soakRun).failAllServers},
 	{"backend server replaced", (*soakRun).replaceServer},
 	{"configuration changed", (*soakRun).changeConfiguration},
 	{"key revoked", (*soakRun).revokeKey},
@@ -63,13 +67,29 @@
 	end   func()
 }
 
-// injectFaults injects random faults for the duration in the options, and ends them.
-func (r *soakRun) injectFaults() {
-	var active []activeFault
+// candidates returns the faults that a run with the options chooses from.
+func (o *Options) candidates() []fault {
 	candidates := faults
-	if r.options.SilentServersOnly {
+	if o.SilentServersOnly {
 		candidates = silentServerFaults
 	}
+	return slices.DeleteFunc(slices.Clone(candidates), func(f fault) bool {
+		return o.Faults != nil && !o.Faults.MatchString(f.name)
+	})
+}
+
+// NoFaultError says that Options.Faults matches no fault.
+type NoFaultError struct{ Faults string }
+
+// Error implements error.
+func (e *NoFaultError) Error() string {
+	return fmt.Sprintf("no fault matches %q", e.Faults)
+}
+
+// injectFaults injects random faults for the duration in the options, and ends them.
+func (r *soakRun) injectFaults() {
+	var active []activeFault
+	candidates := r.options.candidates()
 	for until := time.Now().Add(r.options.FaultDuration); time.Now().Before(until); {
 		chosen := candidates[r.random.IntN(len(candidates))]
 		r.options.Logf("seed %d: %s", r.options.Seed, chosen.name)
@@ -161,6 +181,22 @@
 	return nil
 }
 
+// killAllDaemons kills all daemons that run, also those that stop.
+func (r *soakRun) killAllDaemons() func() {
+	for _, d := range r.daemons {
+		if d.Running() && !d.paused {
+			d.exitExpected = true
+			_ = d.Kill()
+		}
+	}
+	for _, d := range r.daemons {
+		if !d.paused {
+			<-d.Exited()
+		}
+	}
+	return nil
+}
+
 // stopDaemon begins a planned stop. It doesn't wait for the exit.
 func (r *soakRun) stopDaemon() func() {
 	if d := r.randomDaemon(); d.Running() && !d.exitExpected && !d.paused {
@@ -334,6 +370,19 @@
 	return func() { server.setFailureMode(noFailure) }
 }
 
+// failAllServers makes all backend servers fail requests in all ways, so that one call meets
+// several failures.
+func (r *soakRun) failAllServers() func() {
+	for _, server := range r.servers {
+		server.setFailureMode(anyFailure)
+	}
+	return func() {
+		for _, server := range r.servers {
+			server.setFailureMode(noFailure)
+		}
+	}
+}
+
 // pauseServer makes a backend server send nothing for a while. It then goes on.
 func (r *soakRun) pauseServer() func() {
 	r.randomServer().pauseFor(r.randomDuration(maxServerPause))
--- a/testbench/soak/soak.go
+++ b/testbench/soak/soak.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -30,6 +31,8 @@
 	SilentServersOnly bool
 	// Evacuate evacuates a failure domain before the faults and takes it back after them.
 	Evacuate bool
+	// Faults limits the faults to those whose name it matches; nil for all.
+	Faults *regexp.Regexp
 	// Directory is an existing directory for the daemons' settings and logs.
 	Directory string
 	// Logf reports each injected fault. It may be nil.
@@ -108,12 +111,15 @@
 	startedAt time.Time
 }
 
-// Run does the run of one seed. It returns an error if the daemons and servers can't be
-// started; violated guarantees are part of the result.
+// Run does the run of one seed. It returns *NoFaultError, or another error if the daemons and
+// servers can't be started; violated guarantees are part of the result.
 func Run(options Options) (Result, error) {
 	if options.Logf == nil {
 		options.Logf = func(string, ...any) {}
 	}
+	if len(options.candidates()) == 0 {
+		return Result{}, &NoFaultError{Faults: options.Faults.String()}
+	}
 	r := &soakRun{
 		options: options, random: rand.New(rand.NewPCG(options.Seed, 7)), store: platformtest.NewStore(),
 		network: faultproxy.NewNetwork(), checker: newChecker(), configurationVersion: 3,
--- a/testbench/soak/soak_test.go
+++ b/testbench/soak/soak_test.go
@@ -108,6 +108,18 @@
 	}
 }
 
+// answered records an answer to the call "r".
+func answered(a answer) func(*checker) {
+	return func(c *checker) { c.recordAnswer(call{id: "r"}, a) }
+}
+
+// streamed records an answer to the call "s" for a stream after the event.
+func streamed(lastEvent int, isWhole bool, body string) func(*checker) {
+	return func(c *checker) {
+		c.recordStream(call{id: "s", lastEvent: lastEvent}, answer{status: 200, isWhole: isWhole, body: body, hasSeal: true})
+	}
+}
+
 // A checker that misses violations would let every soak run pass.
 func TestCheckerDetectsViolations(t *testing.T) {
 	write, read := callKinds[3], callKinds[2]
@@ -120,22 +132,30 @@
 		"workspace": func(c *checker) { c.recordRun("s", "app", "r", "t2", false) },
 		"route":     func(c *checker) { c.recordRun("s", "llm", "r", "t1", false) },
 		"run after its refusal": func(c *checker) {
-			c.recordAnswer("w", 503, true, "", "", false)
+			c.recordAnswer(call{id: "w"}, answer{status: 503})
 			c.recordRun("s", "app", "w", "t1", false)
 		},
 		"refusal after its run": func(c *checker) {
 			c.recordRun("s", "app", "w", "t1", false)
-			c.recordAnswer("w", 503, true, "", "", false)
+			c.recordAnswer(call{id: "w"}, answer{status: 503})
 		},
-		"mixed":   func(c *checker) { c.recordAnswer("r", 200, true, "other", "answer", true) },
-		"no seal": func(c *checker) { c.recordAnswer("r", 200, true, "answer", "answer", false) },
-		"two software versions in one answer": func(c *checker) {
-			c.recordStreamVersions("s", []string{"v1", "v1", "v2"}, false)
+		"mixed":               answered(answer{status: 200, isWhole: true, body: "other", hasSeal: true}),
+		"no seal":             answered(answer{status: 200, isWhole: true, body: plainBody("r")}),
+		"status of no server": answered(answer{status: 404, isWhole: true, body: errorBody("r", 404), hasSeal: true}),
+		"body of no server": func(c *checker) {
+			c.recordServerStatus("r", 404)
+			answered(answer{status: 404, isWhole: true, body: "other", hasSeal: true})(c)
 		},
+		"two software versions in one answer": streamed(0, false, streamEvent("s", 1, "v1")+streamEvent("s", 2, "v2")),
 		"two software versions over a caller's tries": func(c *checker) {
-			c.recordStreamVersions("s", []string{"v1"}, false)
-			c.recordStreamVersions("s", []string{"v2"}, true)
+			streamed(0, false, streamEvent("s", 1, "v1"))(c)
+			streamed(1, false, streamEvent("s", 2, "v2"))(c)
 		},
+		"event missing in a broken stream": streamed(0, false, streamEvent("s", 1, "v1")+streamEvent("s", 3, "v1")),
+		"event twice in a broken stream":   streamed(1, false, streamEvent("s", 1, "v1")),
+		"error within a broken stream":     streamed(0, false, streamEvent("s", 1, "v1")+"error"),
+		"stream of another call":           streamed(0, false, streamEvent("o", 1, "v1")),
+		"stream without its end":           streamed(0, true, streamEvent("s", 1, "v1")),
 		"drain": func(c *checker) {
 			c.setDrainDeadline("s", time.Now().Add(-time.Second))
 			c.recordRun("s", "app", "r", "t1", false)
@@ -143,6 +163,7 @@
 	}
 	for name, violate := range cases {
 		c := newChecker()
+		c.recordCall("s", callKinds[0], "t1")
 		c.recordCall("w", write, "t1")
 		c.recordCall("r", read, "t1")
 		violate(c)
