An answer that doesn't continue a begun stream is no part of it

Cause: a try that follows a part of an answer was handled like the first one. Answers with 5xx are held back until no other try follows; all others, errors of the client and answers with 200 that are no stream, were relayed at once: their head was dropped, as the caller had one already, and their body written behind the stream's events, with the end of a whole answer. Class: what a try may do depends on what earlier tries have done, and the code asked only for what this try got.

A sink refuses to begin an answer twice, whatever a backend does.

--- a/internal/app/execution/try.go
+++ b/internal/app/execution/try.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"hawthornstream/internal/core/outcome"
@@ -250,15 +251,29 @@
 	try *try
 }
 
-// Begin implements ports.AnswerSink.
+// AnswerBegunError reports that a try would begin the answer of a call whose caller has
+// received the beginning of another one.
+type AnswerBegunError struct{ Status int }
+
+// Error implements error.
+func (e *AnswerBegunError) Error() string {
+	return fmt.Sprintf("an answer with status %d can't follow the beginning of another one", e.Status)
+}
+
+// Begin implements ports.AnswerSink. It fails with *AnswerBegunError if an earlier try has
+// begun the answer.
 func (s *trySink) Begin(status int, header ports.Header) error {
 	if err := s.try.Accept(); err != nil {
 		return err
 	}
 	r := s.try.loop
 	r.mu.Lock()
+	begun := r.begun
 	r.begun = true
 	r.mu.Unlock()
+	if begun {
+		return &AnswerBegunError{Status: status}
+	}
 	return r.sink.Begin(status, header)
 }
 
--- a/internal/app/execution/try_test.go
+++ b/internal/app/execution/try_test.go
@@ -283,3 +283,18 @@
 		t.Errorf("got %+v, answer %q", result, answer)
 	}
 }
+
+// An error answer was written behind the beginning of a stream.
+func TestBegunAnswerIsNotBegunAgain(t *testing.T) {
+	_, body, _ := executeScripts(t, false, 0, func(_ context.Context, _ *ports.Call, sink ports.AnswerSink) ports.RunResult {
+		result := answerText(sink, "first")
+		var begun *AnswerBegunError
+		if err := sink.Begin(409, nil); !errors.As(err, &begun) {
+			t.Errorf("the answer began again: %v", err)
+		}
+		return result
+	})
+	if body != "first" {
+		t.Errorf("got %q", body)
+	}
+}
