A reset that the silence watchdog finds still ends an answer as broken

An answer without length or chunks whose connection was reset could end as if it were whole (ORDER, MIXED).

Cause: the kernel reports a reset once. The watchdog of a silent connection asks it for unread bytes with a peek, which takes that report; the next read then finds an orderly end. It needs a server that resets within an answer that it sends without length or chunks, and nobody who reads the connection at that moment, for instance since the caller reads slowly. Class: a query that changes what it asks for.

Change: tcpstate tells a reset from a close, and the connection remembers it for its reads. Other peeks are at connections from which nothing is read any more, or whose callers' end cancels the call either way.

--- a/internal/adapters/backendhttp/conn.go
+++ b/internal/adapters/backendhttp/conn.go
@@ -1,6 +1,8 @@
 package backendhttp
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -22,6 +24,11 @@
 	// corrected, or once it was written.
 	requestLine *correctedRequestLine
 
+	// peekMu is held while the kernel is asked for the state of the connection. It guards
+	// foundReset, which is true once that was a reset; the kernel doesn't report it again.
+	peekMu     sync.Mutex
+	foundReset bool
+
 	closedAsSilent atomic.Bool
 	// countsBytes is true if each received byte is progress of the current request.
 	countsBytes atomic.Bool
@@ -95,9 +102,13 @@
 	return requestLine, true
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. A connection that was reset fails with *connectionResetError or
+// the error of the kernel, and never ends with io.EOF.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) && c.wasReset() {
+		err = &connectionResetError{}
+	}
 	if n > 0 && c.countsBytes.Load() {
 		c.recordProgress(time.Now())
 	}
@@ -114,14 +125,38 @@
 // as the kernel knows. A reset or an extra answer may have arrived that the HTTP
 // client has not read yet.
 func (c *trackedConn) isQuiet() bool {
-	state := tcpstate.Peek(c.Conn)
+	state := c.peek()
 	return state == tcpstate.Quiet || state == tcpstate.Unknown
 }
 
 // hasUnreadBytes reports whether the kernel holds bytes that this process, if it gets
 // little processor time, has not read yet.
 func (c *trackedConn) hasUnreadBytes() bool {
-	return tcpstate.Peek(c.Conn) == tcpstate.Readable
+	return c.peek() == tcpstate.Readable
+}
+
+// peek asks the kernel for the state of the connection.
+func (c *trackedConn) peek() tcpstate.State {
+	c.peekMu.Lock()
+	defer c.peekMu.Unlock()
+	state := tcpstate.Peek(c.Conn)
+	c.foundReset = c.foundReset || state == tcpstate.Reset
+	return state
+}
+
+// wasReset reports whether peek has found a reset.
+func (c *trackedConn) wasReset() bool {
+	c.peekMu.Lock()
+	defer c.peekMu.Unlock()
+	return c.foundReset
+}
+
+// connectionResetError is returned by reads once peek has found a reset.
+type connectionResetError struct{}
+
+// Error implements error.
+func (*connectionResetError) Error() string {
+	return "the connection was reset"
 }
 
 // closeAsSilent closes the connection because its answer made no progress in time.
--- a/internal/adapters/callerhttp/hungup.go
+++ b/internal/adapters/callerhttp/hungup.go
@@ -10,5 +10,6 @@
 // where the kernel can't be asked; there only the call's context shows that the
 // caller hung up.
 func hungUp(conn net.Conn) bool {
-	return tcpstate.Peek(conn) == tcpstate.Closed
+	state := tcpstate.Peek(conn)
+	return state == tcpstate.Closed || state == tcpstate.Reset
 }
--- a/internal/adapters/tcpstate/peek_linux.go
+++ b/internal/adapters/tcpstate/peek_linux.go
@@ -40,12 +40,12 @@
 	}
 }
 
-// stateOfError returns Closed for the errors with which the kernel reports that a
+// stateOfError returns Reset for the errors with which the kernel reports that a
 // connection has ended: a reset, or the expiry of keep-alive probes or of
 // TCP_USER_TIMEOUT.
 func stateOfError(err error) State {
 	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.ETIMEDOUT) {
-		return Closed
+		return Reset
 	}
 	return Unknown
 }
--- a/internal/adapters/tcpstate/tcpstate.go
+++ b/internal/adapters/tcpstate/tcpstate.go
@@ -14,7 +14,9 @@
 	Quiet
 	// Readable means that received bytes have not been read yet.
 	Readable
-	// Closed means that the peer has closed or reset the connection, or that this
-	// side has closed it.
+	// Closed means that the peer or this side has closed the connection.
 	Closed
+	// Reset means that the peer has reset the connection or doesn't respond any more. The
+	// kernel reports this once: Peek and reads find the connection closed from then on.
+	Reset
 )
--- a/internal/adapters/tcpstate/tcpstate_test.go
+++ b/internal/adapters/tcpstate/tcpstate_test.go
@@ -53,7 +53,7 @@
 				return err
 			}
 			return far.Close()
-		}, Closed},
+		}, Reset},
 		"bytes": {func(far *net.TCPConn) error {
 			_, err := far.Write([]byte("x"))
 			return err
@@ -81,9 +81,9 @@
 }
 
 // A connection whose keep-alive probes stay unanswered ends with ETIMEDOUT.
-func TestTimedOutConnectionIsClosed(t *testing.T) {
+func TestTimedOutConnectionIsReset(t *testing.T) {
 	for err, want := range map[error]State{
-		syscall.ETIMEDOUT: Closed, syscall.ECONNRESET: Closed, syscall.ENOTCONN: Unknown,
+		syscall.ETIMEDOUT: Reset, syscall.ECONNRESET: Reset, syscall.ENOTCONN: Unknown,
 	} {
 		if got := stateOfError(err); got != want {
 			t.Errorf("%v: got state %d, want %d", err, got, want)
