Soak: late daemons that hand connections over, and runs with planned stops only

Daemons that count as busy hand their connections over, which no soak run did (-late). With -planned-stops nothing but planned stops, pauses of servers and changes happens, and no call that a server has received may end without an answer.

--- a/testbench/cmd/soak/main.go
+++ b/testbench/cmd/soak/main.go
@@ -3,7 +3,7 @@
 //
 // Usage:
 //
-//	soak [-seed N] [-seeds N] [-for 20s] [-daemons N] [-callers N] [-servers N] [-silent-servers] [-faults REGEXP] [-keep DIR] [-v]
+//	soak [-seed N] [-seeds N] [-for 20s] [-daemons N] [-late N] [-callers N] [-servers N] [-silent-servers] [-planned-stops] [-faults REGEXP] [-keep DIR] [-v]
 //
 // Without -seed, the first seed is random. The exit code is 1 when a guarantee was
 // violated or a run could not be started; the logs of such a seed are kept.
@@ -31,9 +31,11 @@
 	seedCount := flag.Int("seeds", 1, "the number of seeds")
 	faultDuration := flag.Duration("for", 20*time.Second, "how long faults are injected for each seed")
 	daemons := flag.Int("daemons", 3, "the number of daemons")
+	late := flag.Int("late", 0, "the number of daemons that hand their connections over to others")
 	callers := flag.Int("callers", 20, "the number of callers")
 	servers := flag.Int("servers", 3, "the number of backend servers of each service")
 	silentServers := flag.Bool("silent-servers", false, "only pause backend servers and change the configuration; no call may end without an answer")
+	plannedStops := flag.Bool("planned-stops", false, "only stop daemons, pause backend servers and change the configuration; no call that a server has received may end without an answer")
 	faults := flag.String("faults", "", "inject only the faults whose name matches the `regexp`; empty for all")
 	keep := flag.String("keep", os.TempDir(), "the `directory` for the logs of failed seeds")
 	verbose := flag.Bool("v", false, "report each injected fault")
@@ -51,7 +53,7 @@
 	for i := range uint64(*seedCount) {
 		options := soak.Options{
 			Seed: *firstSeed + i, Daemons: *daemons, Callers: *callers, ServersPerService: *servers, FaultDuration: *faultDuration,
-			SilentServersOnly: *silentServers, Faults: chosenFaults,
+			LateDaemons: *late, SilentServersOnly: *silentServers, PlannedStopsOnly: *plannedStops, Faults: chosenFaults,
 			Directory: filepath.Join(*keep, fmt.Sprintf("soak-%d", *firstSeed+i)),
 		}
 		if *verbose {
--- a/testbench/soak/callers.go
+++ b/testbench/soak/callers.go
@@ -34,6 +34,8 @@
 	// mustBeAnswered says that no call may end without an answer or a refusal, unless
 	// its caller leaves.
 	mustBeAnswered bool
+	// runsMustBeAnswered says the same of calls that a backend server has received.
+	runsMustBeAnswered bool
 }
 
 func (c *caller) run(ctx context.Context, group *sync.WaitGroup) {
@@ -134,7 +136,8 @@
 // its deadline. The deadline counts by the clock: its timer may fire later.
 func (c *caller) checkAnswered(ctx context.Context, id string, err error) {
 	deadline, _ := ctx.Deadline()
-	if c.mustBeAnswered && err != nil && time.Now().Before(deadline) {
+	mustBeAnswered := c.mustBeAnswered || c.runsMustBeAnswered && c.checker.hasRun(id)
+	if mustBeAnswered && err != nil && time.Now().Before(deadline) {
 		c.checker.addViolation("lost: %s ended without an answer: %v", id, err)
 	}
 }
--- a/testbench/soak/checker.go
+++ b/testbench/soak/checker.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// hasRun reports whether a backend server has run the call.
+func (c *checker) hasRun(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls[id].runCount > 0
+}
+
 // recordServerStatus records the status of the error with which a backend server answers.
 func (c *checker) recordServerStatus(id string, status int) {
 	c.mu.Lock()
--- a/testbench/soak/faults.go
+++ b/testbench/soak/faults.go
@@ -70,7 +70,10 @@
 // candidates returns the faults that a run with the options chooses from.
 func (o *Options) candidates() []fault {
 	candidates := faults
-	if o.SilentServersOnly {
+	switch {
+	case o.PlannedStopsOnly:
+		candidates = append([]fault{{"planned stop of a daemon", (*soakRun).stopDaemon}}, silentServerFaults...)
+	case o.SilentServersOnly:
 		candidates = silentServerFaults
 	}
 	return slices.DeleteFunc(slices.Clone(candidates), func(f fault) bool {
--- a/testbench/soak/soak.go
+++ b/testbench/soak/soak.go
@@ -29,6 +29,13 @@
 	// SilentServersOnly limits the faults to pauses of backend servers and changes of
 	// the configuration and the settings. No call may then end without an answer.
 	SilentServersOnly bool
+	// PlannedStopsOnly limits the faults to planned stops of daemons and those of
+	// SilentServersOnly. No call that a backend server has received may then end without an
+	// answer.
+	PlannedStopsOnly bool
+	// LateDaemons is the number of daemons that count as busy all the time and hand their
+	// connections over to others.
+	LateDaemons int
 	// Evacuate evacuates a failure domain before the faults and takes it back after them.
 	Evacuate bool
 	// Faults limits the faults to those whose name it matches; nil for all.
@@ -61,6 +68,10 @@
 	// a daemon may need to restore its connections after a fault.
 	drainTimeout      = 8500 * time.Millisecond
 	revocationTimeout = 12500 * time.Millisecond
+	// A daemon with busyProcessors is busy with a few calls a second, and one with
+	// enoughProcessors never.
+	busyProcessors   = 0.01
+	enoughProcessors = 16.0
 	// daemonKind is the kind of the objects that daemons write to the store.
 	daemonKind = "hawthornstream-daemons"
 )
@@ -131,7 +142,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	r.startCallers(ctx, &callers)
-	if !r.options.SilentServersOnly {
+	if !r.options.SilentServersOnly && !r.options.PlannedStopsOnly {
 		r.limitServers()
 	}
 	if r.options.Evacuate {
@@ -220,6 +231,13 @@
 	if r.options.Evacuate {
 		text = withEvacuations(text)
 	}
+	if r.options.LateDaemons > 0 {
+		processors := enoughProcessors
+		if index < r.options.LateDaemons {
+			processors = busyProcessors
+		}
+		text = platformtest.WithHandover(text, addresses, processors)
+	}
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -264,7 +282,7 @@
 	for i := range r.options.Callers {
 		c := &caller{
 			name: fmt.Sprintf("c%d", i), checker: r.checker, daemonAddresses: addresses, isKeyRevoked: r.isKeyRevoked,
-			mustBeAnswered: r.options.SilentServersOnly,
+			mustBeAnswered: r.options.SilentServersOnly, runsMustBeAnswered: r.options.PlannedStopsOnly,
 			random:         rand.New(rand.NewPCG(r.options.Seed, uint64(i)+100)),
 			client:         &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 		}
