A broken answer to an HTTP/1.0 caller ends with a reset

A caller that speaks HTTP/1.0 took a stream that broke off for whole: the body of its answer has neither chunks nor a length and ends with the connection, which the daemon closed in order (ORDER, MIXED).

Change: such a connection is reset. Callers that speak HTTP/1.1 see the missing end of the chunks, as before.

Evidence: TestBrokenAnswerToOldProtocolIsReset, before: 'the answer ended in order'; after: passes.

--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -161,14 +161,22 @@
 	}
 	s.countRefusal(result.Refusal)
 	if sink.Begun() {
-		// Abort the connection without ending the body, so that the caller does
-		// not take a truncated answer for a complete one.
-		panic(http.ErrAbortHandler)
+		abortAnswer(r)
 	}
 	s.updateConnectionHeader(w.Header(), r)
 	s.dialect.WriteRefusal(w, call.ID, result.Refusal)
 }
 
+// abortAnswer ends the connection without ending the body, so that the caller does not take a
+// truncated answer for a complete one.
+func abortAnswer(r *http.Request) {
+	if conn := connFromContext(r.Context()); conn != nil && !r.ProtoAtLeast(1, 1) {
+		// A body without chunks ends with an orderly close.
+		closeWithReset(conn)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (s *Server) writeRefusal(w http.ResponseWriter, in *IncomingRequest, refusal *outcome.Refusal) {
 	s.countRefusal(refusal)
 	if s.logLimiter.Allow("request-refused", string(refusal.Reason)) {
