--- a/internal/adapters/callerhttp/status.go
+++ b/internal/adapters/callerhttp/status.go
@@ -32,6 +32,7 @@
 	outcome.ReasonServerUnreachable:      http.StatusBadGateway,
 	outcome.ReasonServerOverloaded:       http.StatusServiceUnavailable,
 	outcome.ReasonServerLeaving:          http.StatusServiceUnavailable,
+	outcome.ReasonServerRestarted:        http.StatusServiceUnavailable,
 	outcome.ReasonServerLimited:          http.StatusServiceUnavailable,
 	outcome.ReasonServersEvacuated:       http.StatusServiceUnavailable,
 	outcome.ReasonServerFailed:           http.StatusBadGateway,
--- a/internal/core/outcome/reason.go
+++ b/internal/core/outcome/reason.go
@@ -32,6 +32,7 @@
 	ReasonServerUnreachable      Reason = "backend-server-unreachable"
 	ReasonServerOverloaded       Reason = "backend-server-overloaded"
 	ReasonServerLeaving          Reason = "backend-server-leaving"
+	ReasonServerRestarted        Reason = "backend-server-restarted"  // the server may have another software version than listed
 	ReasonServerLimited          Reason = "backend-server-limited"    // the servers take no more requests per second
 	ReasonNoAllowedRegion        Reason = "no-allowed-region"         // the route and the workspace allow no known region
 	ReasonRegionsUnavailable     Reason = "regions-unavailable"       // no server of the allowed regions takes calls
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -62,6 +62,7 @@
 	outcome.ReasonServerUnreachable: true,
 	outcome.ReasonServerOverloaded:  true,
 	outcome.ReasonServerLeaving:     true,
+	outcome.ReasonServerRestarted:   true,
 	outcome.ReasonServerFailed:      true,
 	outcome.ReasonConnectionBroken:  true,
 	outcome.ReasonConnectionSilent:  true,
