--- a/testbench/soak/backends.go
+++ b/testbench/soak/backends.go
@@ -117,9 +117,11 @@
 
 // restart ends all requests and goes on with the next software version.
 func (s *backendServer) restart() {
-	s.versionNumber.Store(s.versionNumber.Load()%softwareVersions + 1)
+	next := s.versionNumber.Load()%softwareVersions + 1
+	// The report tells the start before any answer is of the next version.
+	s.Restart(fmt.Sprintf("v%d", next))
+	s.versionNumber.Store(next)
 	s.CloseClientConnections()
-	s.Restart(s.version())
 }
 
 // Close stops the server and ends its requests, also those that hang.
