--- a/testbench/soak/faults.go
+++ b/testbench/soak/faults.go
@@ -209,13 +209,21 @@
 	return nil
 }
 
-// stopDaemon begins a planned stop. It doesn't wait for the exit.
+// stopDaemon begins a planned stop, and asks for it again if the process still runs when the
+// fault ends. It doesn't wait for the exit.
 func (r *soakRun) stopDaemon() func() {
-	if d := r.randomDaemon(); d.Running() && !d.exitExpected && !d.paused {
-		d.exitExpected = true
-		_ = d.Terminate()
+	d := r.randomDaemon()
+	if !d.Running() || d.exitExpected || d.paused {
+		return nil
+	}
+	d.exitExpected = true
+	_ = d.Terminate()
+	stopping := d.PID()
+	return func() {
+		if d.PID() == stopping && d.Running() {
+			_ = d.Terminate()
+		}
 	}
-	return nil
 }
 
 func (r *soakRun) pauseDaemon() func() {
