--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -51,11 +51,11 @@
 }
 
 func TestUnsentCallIsRetriedOutsideBudget(t *testing.T) {
-	try := FailedTry{
-		End: outcome.NotRun, Reason: outcome.ReasonServerUnreachable, Tries: 1, TimeLeft: time.Second,
-	}
-	if Decide(try) != Unbudgeted {
-		t.Error("a call that was not sent must be retried without charging the budget")
+	for _, reason := range []outcome.Reason{outcome.ReasonServerUnreachable, outcome.ReasonServerRestarted} {
+		try := FailedTry{End: outcome.NotRun, Reason: reason, Tries: 1, TimeLeft: time.Second}
+		if Decide(try) != Unbudgeted {
+			t.Errorf("%s: a call that was not sent must be retried without charging the budget", reason)
+		}
 	}
 }
 
