--- a/testbench/soak/backends.go
+++ b/testbench/soak/backends.go
@@ -172,6 +172,8 @@
 	}
 	id, lastEvent := platformtest.AttemptID(r), platformtest.LastEventID(r)
 	s.recordRun(r)
+	received, _ := io.ReadAll(r.Body)
+	s.checker.recordBody(s.Name, id, string(received))
 	version := s.version()
 	time.Sleep(time.Duration(rand.IntN(20)) * time.Millisecond)
 	switch mode {
--- a/testbench/soak/callers.go
+++ b/testbench/soak/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -53,7 +54,9 @@
 	kind           callKind
 	key, workspace string
 	promptPrefix   string
-	timeout        time.Duration
+	// bodyRepeats is the length of the body; see requestBody.
+	bodyRepeats int
+	timeout     time.Duration
 	// resumes is the ID of the attempt that began the stream that this one resumes after
 	// the event lastEvent; empty for none.
 	resumes   string
@@ -80,6 +83,9 @@
 		// Callers name their timeout in whole milliseconds.
 		next.timeout = time.Duration(1+c.random.Int64N(maxEarlyTimeout.Milliseconds())) * time.Millisecond
 	}
+	if !next.kind.stream && c.random.IntN(4) == 0 {
+		next.bodyRepeats = c.random.IntN(maxBodyRepeats)
+	}
 	next.lastEvent = c.send(next)
 	for try := 1; try <= maxResumptions; try++ {
 		if !next.kind.stream || !next.kind.repeatable || next.lastEvent == 0 || next.lastEvent == streamEventCount {
@@ -91,6 +97,14 @@
 	}
 }
 
+// maxBodyRepeats is the exclusive upper bound of the length of a body, which is some 200 kB.
+const maxBodyRepeats = 25_000
+
+// requestBody returns a body that names its call the given number of times.
+func requestBody(id string, repeats int) string {
+	return strings.Repeat(id+" ", repeats)
+}
+
 // maxResumptions is the number of times that a caller tries to resume a stream.
 const maxResumptions = 3
 
@@ -102,7 +116,7 @@
 	address := c.daemonAddresses[c.random.IntN(len(c.daemonAddresses))]
 	request, err := platformtest.NewRequest(ctx, address, platformtest.Call{
 		ID: next.id, Key: next.key, Path: next.kind.path, Timeout: next.timeout, PromptPrefix: next.promptPrefix,
-		Resumes: next.resumes, LastEventID: next.lastEvent,
+		Resumes: next.resumes, LastEventID: next.lastEvent, Body: requestBody(next.id, next.bodyRepeats),
 	})
 	if err != nil {
 		c.checker.addViolation("soak: %v", err)
--- a/testbench/soak/checker.go
+++ b/testbench/soak/checker.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// recordBody records the body of a request that a backend server runs.
+func (c *checker) recordBody(server, id, body string) {
+	if body != requestBody(id, len(body)/(len(id)+1)) {
+		c.addViolation("unasked: %s ran %s with another body of %d bytes", server, id, len(body))
+	}
+}
+
 // hasRun reports whether a backend server has run the call.
 func (c *checker) hasRun(id string) bool {
 	c.mu.Lock()
--- a/testbench/soak/soak_test.go
+++ b/testbench/soak/soak_test.go
@@ -141,6 +141,7 @@
 			c.recordRun("s", "app", "w", "t1", false)
 			c.recordAnswer(call{id: "w"}, answer{status: 503})
 		},
+		"body":                func(c *checker) { c.recordBody("s", "r", "r w ") },
 		"mixed":               answered(answer{status: 200, isWhole: true, body: "other", hasSeal: true}),
 		"no seal":             answered(answer{status: 200, isWhole: true, body: plainBody("r")}),
 		"status of no server": answered(answer{status: 404, isWhole: true, body: errorBody("r", 404), hasSeal: true}),
