Streams that aren't continued have a reason of their own, and core judges starts

A call whose next server doesn't continue its begun stream was logged and counted as backend-server-failed, so that operators couldn't tell the fault of the incident from any error of a server. It is stream-not-continued now, retried like before and answered 502.

Whether a stream may go on at a server with a start is a decision and stands in core/streamorigin, with a test (listed and reported alike, later, earlier, unknown); the platform reads the report.

--- a/internal/adapters/callerhttp/status.go
+++ b/internal/adapters/callerhttp/status.go
@@ -41,6 +41,7 @@
 	outcome.ReasonConnectionSilent:       http.StatusGatewayTimeout,
 	outcome.ReasonAnswerMismatch:         http.StatusBadGateway,
 	outcome.ReasonAnswerTruncated:        http.StatusBadGateway,
+	outcome.ReasonStreamNotContinued:     http.StatusBadGateway,
 	outcome.ReasonAnswerTooLarge:         http.StatusBadGateway,
 	outcome.ReasonIdempotencyUnavailable: http.StatusServiceUnavailable,
 	outcome.ReasonIdempotencyInProgress:  http.StatusConflict,
--- a/internal/core/outcome/reason.go
+++ b/internal/core/outcome/reason.go
@@ -43,6 +43,7 @@
 	ReasonConnectionSilent       Reason = "connection-silent" // the connection to the backend server made no progress
 	ReasonAnswerMismatch         Reason = "answer-mismatch"   // the answer carries the ID of another request
 	ReasonAnswerTruncated        Reason = "answer-truncated"
+	ReasonStreamNotContinued     Reason = "stream-not-continued" // the answer is no stream where one goes on
 	ReasonAnswerTooLarge         Reason = "answer-too-large"
 	ReasonIdempotencyUnavailable Reason = "idempotency-unavailable" // the idempotency key can't be recorded now
 	ReasonIdempotencyInProgress  Reason = "idempotency-in-progress" // another attempt with the key is running
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -59,15 +59,16 @@
 
 // retryableReasons are the reasons for which another try may succeed.
 var retryableReasons = map[outcome.Reason]bool{
-	outcome.ReasonServerUnreachable: true,
-	outcome.ReasonServerOverloaded:  true,
-	outcome.ReasonServerLeaving:     true,
-	outcome.ReasonServerRestarted:   true,
-	outcome.ReasonServerFailed:      true,
-	outcome.ReasonConnectionBroken:  true,
-	outcome.ReasonConnectionSilent:  true,
-	outcome.ReasonAnswerMismatch:    true,
-	outcome.ReasonAnswerTruncated:   true,
+	outcome.ReasonServerUnreachable:  true,
+	outcome.ReasonServerOverloaded:   true,
+	outcome.ReasonServerLeaving:      true,
+	outcome.ReasonServerRestarted:    true,
+	outcome.ReasonServerFailed:       true,
+	outcome.ReasonConnectionBroken:   true,
+	outcome.ReasonConnectionSilent:   true,
+	outcome.ReasonAnswerMismatch:     true,
+	outcome.ReasonAnswerTruncated:    true,
+	outcome.ReasonStreamNotContinued: true,
 }
 
 // Decide returns what follows a failed try. A call that is not repeatable is
--- a/internal/core/streamorigin/decide_test.go
+++ b/internal/core/streamorigin/decide_test.go
@@ -57,3 +57,11 @@
 		}
 	}
 }
+
+func TestStreamGoesOnUnlessItsServerWasStartedAgain(t *testing.T) {
+	for starts, want := range map[[2]int64]bool{{5, 5}: true, {5, 6}: false, {5, 4}: false, {0, 5}: true, {5, 0}: true} {
+		if got := JudgeStart(starts[0], starts[1]).MayContinue(); got != want {
+			t.Errorf("listed and reported %v: got %v", starts, got)
+		}
+	}
+}
