An answer that doesn't continue a stream still clears its call of ending servers

The new reason stream-not-continued left calls out that a server had answered with an error; as backend-server-failed they counted as calls that don't end servers. Found by reading who asks for the old reason.

--- a/internal/app/dispatch/quarantine.go
+++ b/internal/app/dispatch/quarantine.go
@@ -70,14 +70,14 @@
 }
 
 // recordCauses records what the end of a run says about the call and the parts of its
-// prompt. The server's own failure is a whole answer: it shows that the call doesn't end
+// prompt. An error of the server is an answer: it shows that the call doesn't end
 // servers, but nothing about its parts. The caller holds the manager's mutex.
 func (s *slot) recordCauses(now time.Time, report ports.RunReport) {
 	switch {
 	case s.soundRecorded:
 	case report.Reason == "" && report.FirstByteAfter > 0:
 		s.recordSoundLocked(now, s.causes)
-	case report.Reason == outcome.ReasonServerFailed:
+	case report.Reason == outcome.ReasonServerFailed || report.Reason == outcome.ReasonStreamNotContinued:
 		s.recordSoundLocked(now, s.causes[:1])
 	case report.Reason == outcome.ReasonConnectionBroken || report.Reason == outcome.ReasonAnswerTruncated:
 		s.recordServerEndLocked(now)
