--- a/testbench/soak/soak_test.go
+++ b/testbench/soak/soak_test.go
@@ -21,11 +21,13 @@
 var seeds = []uint64{
 	1, 2,
 	// SIGHUP arrived in the millisecond of a daemon's start and ended the process. The
-	// daemon now installs its signal handlers first, and reloadSettings waits for
-	// signalSetupTime.
+	// daemon now installs its signal handlers first, and reloadSettings waits until it
+	// listens.
 	3002,
 	// The same cause, at the restart after a kill.
 	3016,
+	// The same cause, where a busy machine started the process late.
+	9018,
 	// The store is restored from an older copy.
 	11,
 }
