Stops: call-cut tells when a call was taken and how far it had come

Calls in progress are no longer kept by request ID, which two callers may both use. No change of behaviour.

--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -149,12 +149,13 @@
 // execute passes the call to the executor and answers the caller.
 func (s *Server) execute(w http.ResponseWriter, r *http.Request, call *ports.Call, held *heldMemory) {
 	call.DemandWeight = s.shedder.demandWeight()
-	s.openCalls.add(call)
-	defer s.openCalls.remove(call)
 	sink := newAnswerSink(w, connFromContext(r.Context()), held, func(header http.Header) {
 		s.dialect.SetAnswerHeader(header, call.ID)
 		s.updateConnectionHeader(header, r)
 	})
+	open := &openCall{Call: call, sink: sink, takenInStop: s.stopAnnounced.Load()}
+	s.openCalls.add(open)
+	defer s.openCalls.remove(open)
 	result := s.executor.Execute(r.Context(), call, sink)
 	if result.Refusal == nil {
 		return
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -67,6 +67,7 @@
 	// how long an idle connection is kept open.
 	keepAliveHeader string
 	openCalls       *openCalls
+	callsCut        *metrics.CounterVec
 	shedder         *loadShedder
 	stopAnnounced   atomic.Bool
 	refusingCalls   atomic.Bool
@@ -108,6 +109,7 @@
 		logLimiter:      logLimiter,
 		scope:           scope,
 		openCalls:       newOpenCalls(),
+		callsCut:        metrics.NewCounterVec(scope, "calls_cut", "taken", "state"),
 		shedder:         newLoadShedder(s.Limits.MaxProcessorWait.Value(), scope, logger),
 		memory:          held,
 		connections:     newConnectionLimiter(maxConnections(s.Limits), scope.Gauge("connections"), held),
@@ -256,14 +258,7 @@
 	if err == nil {
 		return nil
 	}
-	for _, call := range s.openCalls.list() {
-		s.logger.Error().
-			Str("event", "call-cut").
-			Str("request", string(call.ID)).
-			Str("workspace", string(call.Workspace)).
-			Str("service", string(call.Service)).
-			Msg("")
-	}
+	s.logCutCalls()
 	if closeErr := s.httpServer.Close(); closeErr != nil {
 		s.logger.Warn().Str("event", "callers-close-failed").Err(closeErr).Msg("")
 	}
--- a/internal/adapters/callerhttp/sink.go
+++ b/internal/adapters/callerhttp/sink.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,7 +29,8 @@
 	setHeader func(http.Header)
 	conn      net.Conn
 	held      *heldMemory
-	begun     bool
+	// begunAt is when the answer began, in nanoseconds since the Unix epoch; zero before.
+	begunAt atomic.Int64
 	// deadlineSetAt is when the write deadline was last set.
 	deadlineSetAt time.Time
 }
@@ -39,7 +41,7 @@
 
 // Begin implements ports.AnswerSink.
 func (s *answerSink) Begin(status int, header ports.Header) error {
-	s.begun = true
+	s.begunAt.Store(time.Now().UnixNano())
 	target := s.writer.Header()
 	for name, values := range header {
 		target[name] = values
@@ -75,7 +77,13 @@
 
 // Begun implements ports.AnswerSink.
 func (s *answerSink) Begun() bool {
-	return s.begun
+	return s.begunAt.Load() > 0
+}
+
+// begunTime returns when the answer began, and false before.
+func (s *answerSink) begunTime() (time.Time, bool) {
+	begunAt := s.begunAt.Load()
+	return time.Unix(0, begunAt), begunAt > 0
 }
 
 // CallerGone implements ports.AnswerSink.
--- a/internal/app/execution/retryloop.go
+++ b/internal/app/execution/retryloop.go
@@ -93,6 +93,7 @@
 // if the call can't be sent, because there was no slot or its caller or deadline is gone.
 func (r *retryLoop) beginTry(ctx context.Context) *outcome.Refusal {
 	call := *r.call
+	call.SendGate.Wait()
 	slot, err := r.executor.broker.Acquire(ctx, &call)
 	if err != nil {
 		return refusalFromError(err)
@@ -101,6 +102,7 @@
 		slot.Release(ports.RunReport{})
 		return notSentRefusal(ctx)
 	}
+	call.SendGate.Send(time.Now())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.relaying = r.newTryLocked(slot)
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -82,6 +82,8 @@
 	FailedServers []VMName
 	// Supervisor is told of the progress of a run. It is set for each run.
 	Supervisor RunSupervisor
+	// SendGate is told of each try; it may be nil.
+	SendGate *SendGate
 }
 
 // RegionLists are the regions that the route and the workspace of a call allow. An empty
