A stopping daemon takes and sends only calls that can end before it does

What callers saw: a stop cut calls off that the daemon had taken after it had announced the stop, among them calls that may not be repeated.

Cause: the announcement takes calls for 2.5 s whatever their deadline, with 4.8 s to 7.3 s left until the cut; calls that wait for a server are sent however little is left.

Change: core/gracefulstop decides from the time until the cut, the caller's deadline, how long the latest calls of the class took, by the size of their answers, and whether the call may be repeated. A call that can't end is refused at once, "not run"; one that waits is given up unsent when its run would no longer fit. ports.SendGate settles the race with a call that is being sent, so that "not run" stays true. A call that was sent and has no answer 100 ms before the cut gets one, cut-by-stop, with run state unknown.

Before, with the decision taken out, TestStopCutsNoCallThatItTook fails: "length unknown: status 200", "long: status 200", and the two waiting cases don't end before the cut. It passes since.

--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -1,6 +1,7 @@
 package callerhttp
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -143,20 +144,27 @@
 	if refusal := s.shedder.shedRefusal(); refusal != nil {
 		return nil, refusal
 	}
-	return parse(r, in)
+	call, refusal := parse(r, in)
+	if refusal == nil {
+		refusal = s.cutRefusal(r.Context(), call)
+	}
+	return call, refusal
 }
 
 // execute passes the call to the executor and answers the caller.
 func (s *Server) execute(w http.ResponseWriter, r *http.Request, call *ports.Call, held *heldMemory) {
 	call.DemandWeight = s.shedder.demandWeight()
+	ctx, refuse := context.WithCancelCause(r.Context())
+	defer refuse(nil)
 	sink := newAnswerSink(w, connFromContext(r.Context()), held, func(header http.Header) {
 		s.dialect.SetAnswerHeader(header, call.ID)
 		s.updateConnectionHeader(header, r)
 	})
-	open := &openCall{Call: call, sink: sink, takenInStop: s.stopAnnounced.Load()}
+	_, isInStop := s.cutAtOf(r.Context())
+	open := &openCall{Call: call, sink: sink, ctx: ctx, refuse: refuse, takenInStop: isInStop}
 	s.openCalls.add(open)
-	defer s.openCalls.remove(open)
-	result := s.executor.Execute(r.Context(), call, sink)
+	result := s.executor.Execute(ctx, call, sink)
+	s.openCalls.remove(open, result)
 	if result.Refusal == nil {
 		return
 	}
--- a/internal/adapters/callerhttp/handover_test.go
+++ b/internal/adapters/callerhttp/handover_test.go
@@ -260,7 +260,7 @@
 	}
 	defer response.Body.Close()
 	waitFor(t, answer.begun, "the start of the stream")
-	late.AnnounceStop()
+	late.AnnounceStop(time.Time{})
 	if !late.HasConnections() {
 		t.Error("the handed-over connection is not counted as open")
 	}
--- a/internal/adapters/callerhttp/listener_stop_test.go
+++ b/internal/adapters/callerhttp/listener_stop_test.go
@@ -99,7 +99,7 @@
 	for !server.HasConnections() {
 		time.Sleep(time.Millisecond)
 	}
-	server.AnnounceStop()
+	server.AnnounceStop(time.Time{})
 	stopped := make(chan error, 1)
 	go func() { stopped <- server.Stop(t.Context()) }()
 	for !server.refusingCalls.Load() {
--- a/internal/adapters/callerhttp/opencalls.go
+++ b/internal/adapters/callerhttp/opencalls.go
@@ -1,31 +1,54 @@
 package callerhttp
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"hawthornstream/internal/core/gracefulstop"
+	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/ports"
 )
 
+// callKind are the calls that are expected to take as long as each other.
+type callKind struct {
+	service ports.ServiceName
+	class   ports.ClassName
+}
+
 // openCall is a call in progress.
 type openCall struct {
 	*ports.Call
 	gate ports.SendGate
 	sink *answerSink
-	// takenInStop says that the daemon's stop had been announced when the call was taken.
+	// ctx is the context of the caller's request, and refuse ends that of the execution.
+	ctx    context.Context
+	refuse context.CancelCauseFunc
+	// takenInStop says that the daemon, or the one that relays the connection, was known to
+	// stop when the call was taken.
 	takenInStop bool
 }
 
-// openCalls is the set of calls in progress. It is safe for concurrent use.
+// taken says for logs and metrics when the call was taken.
+func (c *openCall) taken() string {
+	if c.takenInStop {
+		return "in-stop"
+	}
+	return "before-stop"
+}
+
+// openCalls is the set of calls in progress, with the lengths of those before. It is safe for
+// concurrent use.
 type openCalls struct {
-	mu    sync.Mutex
-	calls map[*openCall]struct{}
+	mu      sync.Mutex
+	calls   map[*openCall]struct{}
+	lengths *gracefulstop.Lengths[callKind]
 }
 
 func newOpenCalls() *openCalls {
-	return &openCalls{calls: make(map[*openCall]struct{})}
+	return &openCalls{calls: make(map[*openCall]struct{}), lengths: gracefulstop.NewLengths[callKind]()}
 }
 
 func (o *openCalls) add(call *openCall) {
@@ -35,10 +58,45 @@
 	o.calls[call] = struct{}{}
 }
 
-func (o *openCalls) remove(call *openCall) {
+// remove removes a call that has ended now, and records its length if its answer is whole.
+func (o *openCalls) remove(call *openCall, result outcome.Result) {
+	now := time.Now()
+	sentAt, wasSent := call.gate.SentAt()
+	begunAt, hasBegun := call.sink.begunTime()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.calls, call)
+	if wasSent && hasBegun && result.Refusal == nil {
+		o.lengths.Record(now, kindOf(call.Call), gracefulstop.Length{
+			Waited: sentAt.Sub(call.Arrived), FirstByte: begunAt.Sub(sentAt), Rest: now.Sub(begunAt),
+			Units: unitsOf(call.Call),
+		})
+	}
+}
+
+func kindOf(call *ports.Call) callKind {
+	return callKind{service: call.Service, class: call.Class}
+}
+
+// unitsOf returns the size of the answer that the caller asks for; zero if unknown.
+func unitsOf(call *ports.Call) int {
+	if call.Prompt == nil {
+		return 0
+	}
+	return call.Prompt.OutputTokens
+}
+
+// outlook returns what is known of a call whose connection will be cut at the given time.
+func (o *openCalls) outlook(now time.Time, call *ports.Call, cutAt time.Time) gracefulstop.Outlook {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	outlook := gracefulstop.Outlook{
+		UntilCut: cutAt.Sub(now), UntilDeadline: call.Deadline.Sub(now), Repeatable: call.Repeatable || call.Resumable,
+	}
+	if estimate, ok := o.lengths.Estimate(now, kindOf(call), unitsOf(call)); ok {
+		outlook.Estimate = &estimate
+	}
+	return outlook
 }
 
 // list returns the calls in progress, sorted by request ID.
@@ -54,31 +112,3 @@
 	})
 	return calls
 }
-
-// logCutCalls logs and counts the calls in progress, which are about to be cut off.
-func (s *Server) logCutCalls() {
-	now := time.Now()
-	for _, call := range s.openCalls.list() {
-		taken, state := "before-stop", "waiting"
-		if call.takenInStop {
-			taken = "in-stop"
-		}
-		sentAt, wasSent := call.gate.SentAt()
-		switch {
-		case call.sink.Begun():
-			state = "answering"
-		case wasSent:
-			state = "running"
-		}
-		s.callsCut.Inc(taken, state)
-		line := s.logger.Error().Str("event", "call-cut").Str("request", string(call.ID)).
-			Str("workspace", string(call.Workspace)).Str("service", string(call.Service)).
-			Str("class", string(call.Class)).Str("taken", taken).Str("state", state).
-			Bool("repeatable", call.Repeatable || call.Resumable).
-			Dur("age", now.Sub(call.Arrived)).Dur("untilDeadline", call.Deadline.Sub(now))
-		if wasSent {
-			line = line.Dur("sinceSent", now.Sub(sentAt))
-		}
-		line.Msg("")
-	}
-}
--- a/internal/adapters/callerhttp/relaystop.go
+++ b/internal/adapters/callerhttp/relaystop.go
@@ -26,6 +26,8 @@
 	takenOverAt time.Time
 	// relay is an overload.RelayState.
 	relay atomic.Uint32
+	// cutAt is when the stop of the relaying daemon cuts the connection off.
+	cutAt cutTime
 }
 
 // relayState returns what the relaying daemon has said of its stop.
@@ -94,6 +96,18 @@
 	return news
 }
 
+// anyCut reports whether a connection is known to be cut off by the stop of its relay.
+func (t *takenOverConns) anyCut() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, conn := range t.conns {
+		if _, ok := conn.cutAt.get(); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // openRelays are the connections that this daemon relays, by the daemon that serves them,
 // with this daemon's address toward it. It is safe for concurrent use.
 type openRelays struct {
--- a/internal/adapters/callerhttp/relaystop_test.go
+++ b/internal/adapters/callerhttp/relaystop_test.go
@@ -101,7 +101,7 @@
 			}
 		}
 		late.transport.lost = lost
-		late.AnnounceStop()
+		late.AnnounceStop(time.Time{})
 		idle.waitForRelayStops(t, "closing", 2)
 		if response := closing.exchange(); response.StatusCode != http.StatusOK || !response.Close {
 			t.Errorf("status %d, closes %v after the announcement", response.StatusCode, response.Close)
@@ -195,7 +195,7 @@
 		for !serving.isReceiving() {
 			time.Sleep(time.Millisecond)
 		}
-		late.AnnounceStop()
+		late.AnnounceStop(time.Time{})
 		late.RefuseCalls()
 		if isRelayed {
 			idle.waitForRelayStops(t, "refusing", 1)
@@ -264,7 +264,7 @@
 		}
 		go func() {
 			<-called
-			late.AnnounceStop()
+			late.AnnounceStop(time.Time{})
 			if isRelayed {
 				idle.waitForRelayStops(t, "closing", 1)
 			}
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -19,7 +19,6 @@
 	"hawthornstream/internal/adapters/logging"
 	"hawthornstream/internal/adapters/metrics"
 	"hawthornstream/internal/adapters/tlsfiles"
-	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/pause"
 	"hawthornstream/internal/ports"
 	"hawthornstream/internal/settings"
@@ -67,13 +66,18 @@
 	// how long an idle connection is kept open.
 	keepAliveHeader string
 	openCalls       *openCalls
-	callsCut        *metrics.CounterVec
 	shedder         *loadShedder
 	stopAnnounced   atomic.Bool
 	refusingCalls   atomic.Bool
-	stopOnce        sync.Once
-	httpServer      *http.Server
-	listen          settings.Listen
+	// cutAt is when this daemon's stop cuts calls off.
+	cutAt        cutTime
+	watchingCuts atomic.Bool
+	callsCut     *metrics.CounterVec
+	// stopped is closed when Stop has returned.
+	stopped    chan struct{}
+	stopOnce   sync.Once
+	httpServer *http.Server
+	listen     settings.Listen
 	// closedUnread counts the new connections that were closed unread.
 	closedUnread atomic.Int64
 	// handover is nil if no connections are handed over.
@@ -110,6 +114,7 @@
 		scope:           scope,
 		openCalls:       newOpenCalls(),
 		callsCut:        metrics.NewCounterVec(scope, "calls_cut", "taken", "state"),
+		stopped:         make(chan struct{}),
 		shedder:         newLoadShedder(s.Limits.MaxProcessorWait.Value(), scope, logger),
 		memory:          held,
 		connections:     newConnectionLimiter(maxConnections(s.Limits), scope.Gauge("connections"), held),
@@ -198,9 +203,12 @@
 
 // AnnounceStop announces a stop: each further answer asks its caller to close the
 // connection. Idle connections stay open until Stop, since a caller may be sending
-// on one.
-func (s *Server) AnnounceStop() {
+// on one. Calls are taken only if they can end before cutAt, when calls in progress are cut
+// off; zero for never. A later call may bring another cutAt.
+func (s *Server) AnnounceStop(cutAt time.Time) {
+	s.cutAt.set(cutAt)
 	s.stopAnnounced.Store(true)
+	s.watchCuts()
 	if s.handover != nil {
 		s.handover.announceStop()
 	}
@@ -228,25 +236,17 @@
 	return s.connections.open.Load() > 0
 }
 
-// stoppingRefusal returns a refusal once this daemon, or the one that relays the
-// connection to it, refuses further calls, and nil before. Such a call arrives over a
-// connection that the stop has not closed yet, and might not end in time.
-func (s *Server) stoppingRefusal(ctx context.Context) *outcome.Refusal {
-	if !s.refusingCalls.Load() && !isRelayRefusingCalls(ctx) {
-		return nil
-	}
-	refusal := notRunRefusal(outcome.ReasonStopping, "the daemon is stopping")
-	refusal.RetryAfter = stoppingRetryAfter
-	return refusal
-}
-
 // Stop accepts no new connections and waits until each call in progress has ended
 // or the context is done. It then logs the calls still in progress, closes their
 // connections and returns an error.
 func (s *Server) Stop(ctx context.Context) error {
-	s.AnnounceStop()
+	cutAt, _ := ctx.Deadline()
+	s.AnnounceStop(cutAt)
 	s.RefuseCalls()
-	defer s.stopOnce.Do(func() { close(s.shedder.stop) })
+	defer s.stopOnce.Do(func() {
+		close(s.shedder.stop)
+		close(s.stopped)
+	})
 	s.closeListener()
 	s.drainConnections(ctx)
 	err := s.httpServer.Shutdown(ctx)
--- a/internal/adapters/callerhttp/server_test.go
+++ b/internal/adapters/callerhttp/server_test.go
@@ -298,7 +298,7 @@
 		if response.Close != wantClose {
 			t.Errorf("answer asks to close the connection: %v, want %v", response.Close, wantClose)
 		}
-		server.AnnounceStop()
+		server.AnnounceStop(time.Time{})
 	}
 }
 
--- a/internal/adapters/callerhttp/status.go
+++ b/internal/adapters/callerhttp/status.go
@@ -22,6 +22,7 @@
 	outcome.ReasonIdempotencyKeyReused:   http.StatusUnprocessableEntity,
 	outcome.ReasonNotReady:               http.StatusServiceUnavailable,
 	outcome.ReasonStopping:               http.StatusServiceUnavailable,
+	outcome.ReasonCutByStop:              http.StatusGatewayTimeout,
 	outcome.ReasonTooManyConnections:     http.StatusServiceUnavailable,
 	outcome.ReasonDaemonOverloaded:       http.StatusServiceUnavailable,
 	outcome.ReasonMemoryExhausted:        http.StatusServiceUnavailable,
--- /dev/null
+++ b/internal/adapters/callerhttp/stopping.go
@@ -0,0 +1,180 @@
+package callerhttp
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"hawthornstream/internal/core/gracefulstop"
+	"hawthornstream/internal/core/outcome"
+	"hawthornstream/internal/ports"
+)
+
+const (
+	// cutCheckInterval is the time between two checks of the calls in progress for those that
+	// can't end before their connections are cut.
+	cutCheckInterval = 50 * time.Millisecond
+	// cutAnswerMargin is the time before the cut at which calls without an answer get one.
+	cutAnswerMargin = 100 * time.Millisecond
+)
+
+// cutTime is when connections are cut off, or unset. It is safe for concurrent use.
+type cutTime struct {
+	// nanos is the time since the Unix epoch; zero if unset.
+	nanos atomic.Int64
+}
+
+// set sets the time; zero unsets it.
+func (c *cutTime) set(at time.Time) {
+	if at.IsZero() {
+		c.nanos.Store(0)
+		return
+	}
+	c.nanos.Store(at.UnixNano())
+}
+
+// get returns the time, and false if it is unset.
+func (c *cutTime) get() (time.Time, bool) {
+	nanos := c.nanos.Load()
+	return time.Unix(0, nanos), nanos != 0
+}
+
+// cutAtOf returns when the connection of a request will be cut off by the stop of this daemon
+// or of the one that relays the connection, and false if neither is known to stop.
+func (s *Server) cutAtOf(ctx context.Context) (time.Time, bool) {
+	cutAt, ok := s.cutAt.get()
+	conn, takenOver := ctx.Value(takenOverKey{}).(*takenOverConn)
+	if !takenOver {
+		return cutAt, ok
+	}
+	relayCutAt, relayStops := conn.cutAt.get()
+	if relayStops && (!ok || relayCutAt.Before(cutAt)) {
+		return relayCutAt, true
+	}
+	return cutAt, ok
+}
+
+// hasCut reports whether connections are known to be cut off.
+func (s *Server) hasCut() bool {
+	if _, ok := s.cutAt.get(); ok {
+		return true
+	}
+	return s.handover != nil && s.handover.takenOverConns.anyCut()
+}
+
+// stoppingRefusal returns a refusal once this daemon, or the one that relays the
+// connection to it, refuses further calls, and nil before. Such a call arrives over a
+// connection that the stop has not closed yet.
+func (s *Server) stoppingRefusal(ctx context.Context) *outcome.Refusal {
+	if !s.refusingCalls.Load() && !isRelayRefusingCalls(ctx) {
+		return nil
+	}
+	return newStoppingRefusal("the daemon is stopping")
+}
+
+func newStoppingRefusal(detail string) *outcome.Refusal {
+	refusal := notRunRefusal(outcome.ReasonStopping, detail)
+	refusal.RetryAfter = stoppingRetryAfter
+	return refusal
+}
+
+// cutRefusal returns a refusal of a call that has arrived and can't end before its connection
+// is cut off, and nil for others.
+func (s *Server) cutRefusal(ctx context.Context, call *ports.Call) *outcome.Refusal {
+	cutAt, ok := s.cutAtOf(ctx)
+	if !ok {
+		return nil
+	}
+	outlook := s.openCalls.outlook(time.Now(), call, cutAt)
+	if gracefulstop.ShouldTake(outlook) {
+		return nil
+	}
+	s.logUnsent("call-not-taken", call, outlook)
+	return newStoppingRefusal("the daemon stops before the call would end")
+}
+
+// logUnsent logs that a call is refused, and what was known of its length.
+func (s *Server) logUnsent(event string, call *ports.Call, outlook gracefulstop.Outlook) {
+	if !s.logLimiter.Allow(event, string(call.Class)) {
+		return
+	}
+	line := s.logger.Info().Str("event", event).Str("request", string(call.ID)).
+		Str("workspace", string(call.Workspace)).Str("service", string(call.Service)).
+		Str("class", string(call.Class)).Bool("repeatable", outlook.Repeatable).
+		Dur("untilCut", outlook.UntilCut).Dur("untilDeadline", outlook.UntilDeadline)
+	if estimate := outlook.Estimate; estimate != nil {
+		line = line.Dur("wait", estimate.Wait).Dur("usual", estimate.Usual).Dur("longest", estimate.Longest)
+	}
+	line.Msg("")
+}
+
+// watchCuts gives up calls in progress that can't end before their connections are cut off,
+// as long as such cuts are known.
+func (s *Server) watchCuts() {
+	if !s.watchingCuts.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer s.watchingCuts.Store(false)
+		ticker := time.NewTicker(cutCheckInterval)
+		defer ticker.Stop()
+		for s.hasCut() {
+			for _, call := range s.openCalls.list() {
+				s.giveUpBeforeCut(call)
+			}
+			select {
+			case <-s.stopped:
+				return
+			case <-ticker.C:
+			}
+		}
+	}()
+}
+
+// giveUpBeforeCut ends a call that waits to be sent and could not end before its connection is
+// cut off, and right before the cut each call of which the caller has got nothing, so that it
+// gets an answer that says whether the call ran.
+func (s *Server) giveUpBeforeCut(call *openCall) {
+	cutAt, ok := s.cutAtOf(call.ctx)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	outlook := s.openCalls.outlook(now, call.Call, cutAt)
+	if !gracefulstop.ShouldSend(outlook) && call.gate.Close() {
+		if call.ctx.Err() == nil {
+			s.logUnsent("call-not-sent", call.Call, outlook)
+		}
+		call.refuse(newStoppingRefusal("the daemon stops before the call would end"))
+		return
+	}
+	if outlook.UntilCut <= cutAnswerMargin && !call.sink.Begun() {
+		s.callsCut.Inc(call.taken(), "unanswered")
+		call.refuse(&outcome.Refusal{Reason: outcome.ReasonCutByStop, Detail: "the daemon stopped before the call had ended"})
+	}
+}
+
+// logCutCalls logs and counts the calls in progress, which are about to be cut off.
+func (s *Server) logCutCalls() {
+	now := time.Now()
+	for _, call := range s.openCalls.list() {
+		state := "waiting"
+		sentAt, wasSent := call.gate.SentAt()
+		switch {
+		case call.sink.Begun():
+			state = "answering"
+		case wasSent:
+			state = "running"
+		}
+		s.callsCut.Inc(call.taken(), state)
+		line := s.logger.Error().Str("event", "call-cut").Str("request", string(call.ID)).
+			Str("workspace", string(call.Workspace)).Str("service", string(call.Service)).
+			Str("class", string(call.Class)).Str("taken", call.taken()).Str("state", state).
+			Bool("repeatable", call.Repeatable || call.Resumable).
+			Dur("age", now.Sub(call.Arrived)).Dur("untilDeadline", call.Deadline.Sub(now))
+		if wasSent {
+			line = line.Dur("sinceSent", now.Sub(sentAt))
+		}
+		line.Msg("")
+	}
+}
--- /dev/null
+++ b/internal/adapters/callerhttp/stopping_test.go
@@ -0,0 +1,82 @@
+package callerhttp
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"hawthornstream/internal/core/gracefulstop"
+	"hawthornstream/internal/core/outcome"
+	"hawthornstream/internal/ports"
+)
+
+// recordLengths makes calls of the test's service known as taking so long.
+func (s *Server) recordLengths(length time.Duration) {
+	for range 5 {
+		s.openCalls.lengths.Record(time.Now(), callKind{service: "registry", class: "draft"}, gracefulstop.Length{FirstByte: length})
+	}
+}
+
+// refusedBy returns the result of a call that was refused for the cause of its context's end.
+func refusedBy(ctx context.Context, end outcome.RunState) outcome.Result {
+	var refusal *outcome.Refusal
+	if !errors.As(context.Cause(ctx), &refusal) {
+		return outcome.Result{End: outcome.Unknown}
+	}
+	copied := *refusal
+	copied.End = end
+	return outcome.Result{End: end, Refusal: &copied}
+}
+
+// Until the announcement of a stop had ended, every call was taken, and cut if it lasted until
+// the stop's end. Calls that waited for a server were sent however little time was left.
+func TestStopCutsNoCallThatItTook(t *testing.T) {
+	waits := func(ctx context.Context, _ *ports.Call, _ ports.AnswerSink) outcome.Result {
+		<-ctx.Done()
+		return refusedBy(ctx, outcome.NotRun)
+	}
+	runs := func(ctx context.Context, call *ports.Call, _ ports.AnswerSink) outcome.Result {
+		call.SendGate.Send(time.Now())
+		<-ctx.Done()
+		return refusedBy(ctx, outcome.Unknown)
+	}
+	answers := answerWith("answer")
+	for _, tt := range []struct {
+		name    string
+		execute executorFunc
+		// length is how long earlier calls took; zero for unknown. The stop ends after cutAfter,
+		// and callers wait for a minute or their deadline.
+		length, cutAfter time.Duration
+		deadline         string
+		wantStatus       int
+		wantRun          outcome.RunState
+	}{
+		{"length unknown", answers, 0, 10 * time.Second, "", http.StatusServiceUnavailable, outcome.NotRun},
+		{"ends by its deadline", answers, 0, 10 * time.Second, "5s", http.StatusOK, outcome.Ran},
+		{"short", answers, time.Second, 10 * time.Second, "", http.StatusOK, outcome.Ran},
+		{"long", answers, 11 * time.Second, 10 * time.Second, "", http.StatusServiceUnavailable, outcome.NotRun},
+		{"waits too long", waits, 300 * time.Millisecond, 500 * time.Millisecond, "", http.StatusServiceUnavailable, outcome.NotRun},
+		{"longer than any before", runs, time.Millisecond, 300 * time.Millisecond, "", http.StatusGatewayTimeout, outcome.Unknown},
+	} {
+		listener, server, _ := newTestServer(t, tt.execute)
+		if tt.length > 0 {
+			server.recordLengths(tt.length)
+		}
+		cutAt := time.Now().Add(tt.cutAfter)
+		server.AnnounceStop(cutAt)
+		request := newRequest(t, http.MethodPost, listener.URL+"/services/registry/x", "")
+		if tt.deadline != "" {
+			request.Header.Set(headerDeadline, tt.deadline)
+		}
+		response, _ := send(t, request)
+		if run := response.Header.Get(headerRun); response.StatusCode != tt.wantStatus || run != string(tt.wantRun) {
+			t.Errorf("%s: status %d, run %q", tt.name, response.StatusCode, run)
+		}
+		if time.Now().After(cutAt) {
+			t.Errorf("%s: answered after the cut", tt.name)
+		}
+		close(server.stopped)
+	}
+}
--- a/internal/app/execution/executor.go
+++ b/internal/app/execution/executor.go
@@ -79,11 +79,27 @@
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	trace := e.startTrace(call)
-	result := e.executeOnce(ctx, call, sink, trace)
+	result := withCause(ctx, e.executeOnce(ctx, call, sink, trace))
 	e.recordEnd(call, trace, result, sink.Begun())
 	return result
 }
 
+// withCause returns the result with the reason of the refusal for which the context ended, if
+// it did so for one.
+func withCause(ctx context.Context, result outcome.Result) outcome.Result {
+	var cause *outcome.Refusal
+	if result.Refusal == nil || !errors.As(context.Cause(ctx), &cause) {
+		return result
+	}
+	refusal := *cause
+	refusal.End = result.End
+	if refusal.End != outcome.NotRun {
+		refusal.RetryAfter = result.Refusal.RetryAfter
+	}
+	result.Refusal = &refusal
+	return result
+}
+
 // executeWithRetries runs the call and retries it where that is safe.
 func (e *Executor) executeWithRetries(
 	ctx context.Context, call *ports.Call, sink ports.AnswerSink, trace *callTrace,
--- a/internal/app/execution/executor_test.go
+++ b/internal/app/execution/executor_test.go
@@ -196,6 +196,39 @@
 	return result.Refusal.Reason
 }
 
+// A stopping daemon gives calls up while they wait for a server, before or after a try.
+func TestCallIsNotSentOnceItsGateIsClosed(t *testing.T) {
+	broken := runResult(outcome.Unknown, outcome.ReasonConnectionBroken)
+	for _, triesBefore := range []int{0, 1} {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		call := newCall("r1", true)
+		call.SendGate = new(ports.SendGate)
+		giveUp := func() {
+			if call.SendGate.Close() {
+				cancel(&outcome.Refusal{Reason: outcome.ReasonStopping, End: outcome.NotRun, RetryAfter: time.Second})
+			}
+		}
+		backend := &fakeBackend{results: []ports.RunResult{broken}, onRun: func(context.Context, *ports.Call) {
+			giveUp()
+			time.AfterFunc(10*time.Millisecond, giveUp)
+			time.AfterFunc(200*time.Millisecond, giveUp)
+		}}
+		wantEnd := outcome.Unknown
+		if triesBefore == 0 {
+			giveUp()
+			wantEnd = outcome.NotRun
+		}
+		result := newTestExecutor(backend, &fakeBroker{}).Execute(ctx, call, new(fakeSink))
+		if result.End != wantEnd || reasonOf(result) != outcome.ReasonStopping || result.Refusal.End != wantEnd {
+			t.Errorf("after %d tries: %v, %+v", triesBefore, result.End, result.Refusal)
+		}
+		if got := backend.runs(); got != triesBefore {
+			t.Errorf("%d runs, want %d", got, triesBefore)
+		}
+		cancel(nil)
+	}
+}
+
 func TestRetryHasItsOwnRequestID(t *testing.T) {
 	backend := &fakeBackend{results: []ports.RunResult{runResult(outcome.Unknown, outcome.ReasonConnectionBroken)}}
 	executor := newTestExecutor(backend, &fakeBroker{})
--- a/internal/app/execution/retryloop.go
+++ b/internal/app/execution/retryloop.go
@@ -98,11 +98,14 @@
 	if err != nil {
 		return refusalFromError(err)
 	}
-	if ctx.Err() != nil || r.sink.CallerGone() {
+	isSendable := call.SendGate.Send(time.Now())
+	if !isSendable {
+		<-ctx.Done()
+	}
+	if !isSendable || ctx.Err() != nil || r.sink.CallerGone() {
 		slot.Release(ports.RunReport{})
 		return notSentRefusal(ctx)
 	}
-	call.SendGate.Send(time.Now())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.relaying = r.newTryLocked(slot)
--- a/internal/app/lifecycle/manager.go
+++ b/internal/app/lifecycle/manager.go
@@ -38,8 +38,9 @@
 
 // CallerServer is the subset of the callers' server that a stop uses.
 type CallerServer interface {
-	// AnnounceStop asks callers to send no further request on open connections.
-	AnnounceStop()
+	// AnnounceStop asks callers to send no further request on open connections, and takes
+	// only calls that can end before cutAt.
+	AnnounceStop(cutAt time.Time)
 	// RefuseCalls answers each further call, on open and new connections, with a
 	// refusal that has a RetryAfter.
 	RefuseCalls()
@@ -140,7 +141,8 @@
 		Dur("refuseUntil", m.schedule.RefuseUntil).
 		Dur("cutAt", m.schedule.CutAt).
 		Msg("")
-	ctx, cancel := context.WithDeadline(context.Background(), stop.RequestedAt.Add(m.schedule.CutAt))
+	cutAt := stop.RequestedAt.Add(m.schedule.CutAt)
+	ctx, cancel := context.WithDeadline(context.Background(), cutAt)
 	defer cancel()
 	go func() {
 		select {
@@ -150,7 +152,7 @@
 		}
 	}()
 
-	m.callers.AnnounceStop()
+	m.callers.AnnounceStop(cutAt)
 	m.membership.Leave()
 	pause.For(ctx, time.Until(stop.RequestedAt.Add(m.schedule.AnnounceUntil)))
 	m.refuseUntilDisconnected(ctx, stop)
--- a/internal/app/lifecycle/manager_test.go
+++ b/internal/app/lifecycle/manager_test.go
@@ -38,7 +38,7 @@
 	cutAt time.Time
 }
 
-func (r *stepRecorder) AnnounceStop() { r.steps = append(r.steps, "announce") }
+func (r *stepRecorder) AnnounceStop(time.Time) { r.steps = append(r.steps, "announce") }
 
 func (r *stepRecorder) RefuseCalls() { r.steps = append(r.steps, "refuse") }
 
--- a/internal/core/outcome/reason.go
+++ b/internal/core/outcome/reason.go
@@ -21,6 +21,7 @@
 const (
 	ReasonNotReady               Reason = "not-ready" // the daemon has no configuration yet
 	ReasonStopping               Reason = "stopping"
+	ReasonCutByStop              Reason = "cut-by-stop" // the daemon stopped before the call had ended
 	ReasonTooManyConnections     Reason = "too-many-connections"
 	ReasonDaemonOverloaded       Reason = "daemon-overloaded" // the daemon has more requests than processor time
 	ReasonMemoryExhausted        Reason = "memory-exhausted"  // requests hold all the memory that the daemon has for them
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -82,7 +82,7 @@
 	FailedServers []VMName
 	// Supervisor is told of the progress of a run. It is set for each run.
 	Supervisor RunSupervisor
-	// SendGate is told of each try; it may be nil.
+	// SendGate is asked before each try; nil if the call may always be sent.
 	SendGate *SendGate
 }
 
@@ -171,7 +171,8 @@
 
 // Executor executes calls.
 type Executor interface {
-	// Execute runs the call to its end and returns the result. If the result
+	// Execute runs the call to its end and returns the result. If the cause of the
+	// context's end is an *outcome.Refusal, that is why the call is refused. If the result
 	// carries a refusal and the sink has not begun, the caller of Execute sends
 	// the refusal as the answer; if the sink has begun, it must truncate the
 	// answer in a way that is visible to the caller.
--- a/internal/ports/sendgate.go
+++ b/internal/ports/sendgate.go
@@ -5,28 +5,48 @@
 	"time"
 )
 
-// SendGate records whether a call waits or has been sent to a backend server. It is safe for
-// concurrent use. Nil records nothing.
+// Values of a SendGate's state; others are when the call was sent, in nanoseconds since the
+// Unix epoch.
+const (
+	gateWaiting = 0
+	gateClosed  = -1
+)
+
+// SendGate settles whether a call is sent to a backend server or given up unsent, when both
+// are about to happen. It is safe for concurrent use. The zero value is open; nil stays open.
 type SendGate struct {
-	// state is when the call was last sent, in nanoseconds since the Unix epoch; zero before
-	// and between tries.
 	state atomic.Int64
+	// closing says that no further try may be sent.
+	closing atomic.Bool
 }
 
-// Send records that the call is about to be sent.
-func (g *SendGate) Send(now time.Time) {
-	if g != nil {
-		g.state.Store(now.UnixNano())
-	}
+// Send records that a try of the call is about to be sent. It returns false if the gate is
+// closed: the call must then not be sent, and the context of its execution ends soon.
+func (g *SendGate) Send(now time.Time) bool {
+	return g == nil || !g.closing.Load() && g.state.CompareAndSwap(gateWaiting, now.UnixNano())
 }
 
-// Wait records that a try has ended and the call waits for another one.
+// Wait records that the last try has ended and the call waits for another one.
 func (g *SendGate) Wait() {
-	if g != nil {
-		g.state.Store(0)
+	switch {
+	case g == nil:
+	case g.closing.Load():
+		g.state.Store(gateClosed)
+	default:
+		// Close may have changed the state of a call that has not been sent yet.
+		if sent := g.state.Load(); sent != gateClosed {
+			g.state.CompareAndSwap(sent, gateWaiting)
+		}
 	}
 }
 
+// Close keeps further tries from being sent. It returns true if none is in progress: the
+// context of the call's execution must then be ended. It is to be called until it does.
+func (g *SendGate) Close() bool {
+	g.closing.Store(true)
+	return g.state.CompareAndSwap(gateWaiting, gateClosed) || g.state.Load() == gateClosed
+}
+
 // SentAt returns when the call was sent, and false while it waits.
 func (g *SendGate) SentAt() (time.Time, bool) {
 	sent := g.state.Load()
