A planned stop has its whole time, and a signal in one limits it

What callers saw: a stop that hawthornctl planned cut calls off 7.3 s after it began where the platform's settings name a kill after 8 s, though no kill follows a plan.

Cause: stop.killedAfter counts from a signal, but the schedule of every stop was made from it.

Change: a planned stop is cut off after stop.within. A SIGTERM in it moves the cut before the kill that then follows; callers' server learns the earlier time. Connections that callers keep are refused on as before.

--- a/internal/adapters/callerhttp/opencalls.go
+++ b/internal/adapters/callerhttp/opencalls.go
@@ -29,6 +29,9 @@
 	// takenInStop says that the daemon, or the one that relays the connection, was known to
 	// stop when the call was taken.
 	takenInStop bool
+	// estimate is how long the call takes, once isEstimated. Only watchCuts uses them.
+	estimate    *gracefulstop.Estimate
+	isEstimated bool
 }
 
 // taken says for logs and metrics when the call was taken.
@@ -86,17 +89,16 @@
 	return call.Prompt.OutputTokens
 }
 
-// outlook returns what is known of a call whose connection will be cut at the given time.
-func (o *openCalls) outlook(now time.Time, call *ports.Call, cutAt time.Time) gracefulstop.Outlook {
+// estimate returns how long the call will take by the latest ones of its kind, or nil if too
+// few are known.
+func (o *openCalls) estimate(call *ports.Call) *gracefulstop.Estimate {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	outlook := gracefulstop.Outlook{
-		UntilCut: cutAt.Sub(now), UntilDeadline: call.Deadline.Sub(now), Repeatable: call.Repeatable || call.Resumable,
+	estimate, ok := o.lengths.Estimate(time.Now(), kindOf(call), unitsOf(call))
+	if !ok {
+		return nil
 	}
-	if estimate, ok := o.lengths.Estimate(now, kindOf(call), unitsOf(call)); ok {
-		outlook.Estimate = &estimate
-	}
-	return outlook
+	return &estimate
 }
 
 // list returns the calls in progress, sorted by request ID.
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -204,9 +204,9 @@
 // AnnounceStop announces a stop: each further answer asks its caller to close the
 // connection. Idle connections stay open until Stop, since a caller may be sending
 // on one. Calls are taken only if they can end before cutAt, when calls in progress are cut
-// off; zero for never. A later call may bring another cutAt.
+// off; zero for never. It may be called again with an earlier time.
 func (s *Server) AnnounceStop(cutAt time.Time) {
-	s.cutAt.set(cutAt)
+	s.cutAt.advance(cutAt)
 	s.stopAnnounced.Store(true)
 	s.watchCuts()
 	if s.handover != nil {
--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -24,13 +24,17 @@
 	nanos atomic.Int64
 }
 
-// set sets the time; zero unsets it.
-func (c *cutTime) set(at time.Time) {
+// advance sets the time if it is earlier than the one that is set; zero changes nothing.
+func (c *cutTime) advance(at time.Time) {
 	if at.IsZero() {
-		c.nanos.Store(0)
 		return
 	}
-	c.nanos.Store(at.UnixNano())
+	for {
+		known := c.nanos.Load()
+		if known != 0 && known <= at.UnixNano() || c.nanos.CompareAndSwap(known, at.UnixNano()) {
+			return
+		}
+	}
 }
 
 // get returns the time, and false if it is unset.
@@ -85,7 +89,7 @@
 	if !ok {
 		return nil
 	}
-	outlook := s.openCalls.outlook(time.Now(), call, cutAt)
+	outlook := newOutlook(call, cutAt, s.openCalls.estimate(call))
 	if gracefulstop.ShouldTake(outlook) {
 		return nil
 	}
@@ -93,6 +97,14 @@
 	return newStoppingRefusal("the daemon stops before the call would end")
 }
 
+func newOutlook(call *ports.Call, cutAt time.Time, estimate *gracefulstop.Estimate) gracefulstop.Outlook {
+	now := time.Now()
+	return gracefulstop.Outlook{
+		UntilCut: cutAt.Sub(now), UntilDeadline: call.Deadline.Sub(now), Estimate: estimate,
+		Repeatable: call.Repeatable || call.Resumable,
+	}
+}
+
 // logUnsent logs that a call is refused, and what was known of its length.
 func (s *Server) logUnsent(event string, call *ports.Call, outlook gracefulstop.Outlook) {
 	if !s.logLimiter.Allow(event, string(call.Class)) {
@@ -139,8 +151,11 @@
 	if !ok {
 		return
 	}
-	now := time.Now()
-	outlook := s.openCalls.outlook(now, call.Call, cutAt)
+	if !call.isEstimated {
+		call.isEstimated = true
+		call.estimate = s.openCalls.estimate(call.Call)
+	}
+	outlook := newOutlook(call.Call, cutAt, call.estimate)
 	if !gracefulstop.ShouldSend(outlook) && call.gate.Close() {
 		if call.ctx.Err() == nil {
 			s.logUnsent("call-not-sent", call.Call, outlook)
--- a/internal/app/lifecycle/manager.go
+++ b/internal/app/lifecycle/manager.go
@@ -39,7 +39,7 @@
 // CallerServer is the subset of the callers' server that a stop uses.
 type CallerServer interface {
 	// AnnounceStop asks callers to send no further request on open connections, and takes
-	// only calls that can end before cutAt.
+	// only calls that can end before cutAt. It may be called again with an earlier time.
 	AnnounceStop(cutAt time.Time)
 	// RefuseCalls answers each further call, on open and new connections, with a
 	// refusal that has a RetryAfter.
@@ -60,7 +60,7 @@
 // Manager carries out the graceful stop.
 type Manager struct {
 	self          ports.VMName
-	schedule      gracefulstop.Schedule
+	limits        gracefulstop.Limits
 	configuration ports.ConfigurationSource
 	callers       CallerServer
 	membership    FleetMembership
@@ -73,6 +73,8 @@
 	stopRequested chan Stop
 	// cutRequested is closed when the stop in progress is to end at once.
 	cutRequested chan struct{}
+	// killAnnounced receives, once, when a signal came during a planned stop.
+	killAnnounced chan time.Time
 
 	// mu guards what follows.
 	mu            sync.Mutex
@@ -94,7 +96,7 @@
 ) *Manager {
 	m := &Manager{
 		self:          s.VM.Name,
-		schedule:      scheduleOf(s.Stop),
+		limits:        limitsOf(s.Stop),
 		configuration: configuration,
 		callers:       callers,
 		membership:    peers,
@@ -103,17 +105,25 @@
 		startedAt:     time.Now(),
 		stopRequested: make(chan Stop, 1),
 		cutRequested:  make(chan struct{}),
+		killAnnounced: make(chan time.Time, 1),
 	}
 	configuration.OnChange(m.schedulePlannedStop)
 	return m
 }
 
-func scheduleOf(stop settings.Stop) gracefulstop.Schedule {
-	return gracefulstop.Plan(gracefulstop.Limits{
+func limitsOf(stop settings.Stop) gracefulstop.Limits {
+	return gracefulstop.Limits{
 		Timeout:        stop.Timeout.Value(),
 		KillAfter:      stop.KillAfter.Value(),
 		AnnouncePeriod: stop.AnnouncePeriod.Value(),
-	})
+	}
+}
+
+func (m *Manager) scheduleOf(cause StopCause) gracefulstop.Schedule {
+	if cause == CausePlanned {
+		return gracefulstop.PlanWithoutKill(m.limits)
+	}
+	return gracefulstop.Plan(m.limits)
 }
 
 // StopRequested receives the stop of this daemon once a signal or a plan requests it.
@@ -134,28 +144,25 @@
 // out first.
 func (m *Manager) Drain(stop Stop) error {
 	m.stopping.Store(true)
+	schedule := m.scheduleOf(stop.Cause)
 	m.logger.Info().
 		Str("event", "stop-began").
 		Str("cause", string(stop.Cause)).
-		Dur("announceUntil", m.schedule.AnnounceUntil).
-		Dur("refuseUntil", m.schedule.RefuseUntil).
-		Dur("cutAt", m.schedule.CutAt).
+		Dur("announceUntil", schedule.AnnounceUntil).
+		Dur("refuseUntil", schedule.RefuseUntil).
+		Dur("cutAt", schedule.CutAt).
 		Msg("")
-	cutAt := stop.RequestedAt.Add(m.schedule.CutAt)
+	cutAt := stop.RequestedAt.Add(schedule.CutAt)
 	ctx, cancel := context.WithDeadline(context.Background(), cutAt)
 	defer cancel()
-	go func() {
-		select {
-		case <-m.cutRequested:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
+	go m.endEarly(ctx, cancel)
 
 	m.callers.AnnounceStop(cutAt)
 	m.membership.Leave()
-	pause.For(ctx, time.Until(stop.RequestedAt.Add(m.schedule.AnnounceUntil)))
-	m.refuseUntilDisconnected(ctx, stop)
+	pause.For(ctx, time.Until(stop.RequestedAt.Add(schedule.AnnounceUntil)))
+	if schedule.RefuseUntil > 0 {
+		m.refuseUntilDisconnected(ctx, stop.RequestedAt.Add(schedule.RefuseUntil))
+	}
 	if err := m.callers.Stop(ctx); err != nil {
 		m.logger.Error().Str("event", "stop-cut-calls").Err(err).Msg("")
 		return err
@@ -164,16 +171,29 @@
 	return nil
 }
 
-// refuseUntilDisconnected refuses calls until all callers have disconnected or
-// the time before the platform's kill runs out. Closing a connection while a
-// request is in transit would leave the caller without an answer. Without a kill
-// it does nothing.
-func (m *Manager) refuseUntilDisconnected(ctx context.Context, stop Stop) {
-	if m.schedule.RefuseUntil == 0 {
-		return
+// endEarly ends the context of a stop when an interrupt asks for it, or before the kill that
+// follows a signal in a planned stop.
+func (m *Manager) endEarly(ctx context.Context, cancel context.CancelFunc) {
+	for {
+		select {
+		case <-m.cutRequested:
+			cancel()
+		case signalledAt := <-m.killAnnounced:
+			cutAt := signalledAt.Add(gracefulstop.Plan(m.limits).CutAt)
+			m.callers.AnnounceStop(cutAt)
+			defer time.AfterFunc(time.Until(cutAt), cancel).Stop()
+		case <-ctx.Done():
+			return
+		}
 	}
+}
+
+// refuseUntilDisconnected refuses calls until all callers have disconnected or the time is
+// over. Closing a connection while a request is in transit would leave the caller without an
+// answer.
+func (m *Manager) refuseUntilDisconnected(ctx context.Context, until time.Time) {
 	m.callers.RefuseCalls()
-	ctx, cancel := context.WithDeadline(ctx, stop.RequestedAt.Add(m.schedule.RefuseUntil))
+	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	for m.callers.HasConnections() && pause.For(ctx, connectionCheckInterval) {
 	}
@@ -198,6 +218,6 @@
 		return
 	}
 	m.stopTimer = time.AfterFunc(at.Sub(now), func() {
-		m.requestStop(time.Now(), gracefulstop.RequestStop, CausePlanned)
+		m.requestStop(time.Now(), gracefulstop.RequestPlanned, CausePlanned)
 	})
 }
--- a/internal/app/lifecycle/manager_test.go
+++ b/internal/app/lifecycle/manager_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"hawthornstream/internal/core/configuration"
+	"hawthornstream/internal/core/gracefulstop"
 	"hawthornstream/internal/ports"
 	"hawthornstream/internal/settings"
 )
@@ -29,6 +31,8 @@
 // stepRecorder is a fake of the callers' server and of the fleet membership that
 // records the steps of a stop.
 type stepRecorder struct {
+	// mu guards steps while a stop is in progress.
+	mu    sync.Mutex
 	steps []string
 	// callsEnded is closed when every call in progress has ended.
 	callsEnded chan struct{}
@@ -38,19 +42,25 @@
 	cutAt time.Time
 }
 
-func (r *stepRecorder) AnnounceStop(time.Time) { r.steps = append(r.steps, "announce") }
+func (r *stepRecorder) record(step string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.steps = append(r.steps, step)
+}
+
+func (r *stepRecorder) AnnounceStop(time.Time) { r.record("announce") }
 
-func (r *stepRecorder) RefuseCalls() { r.steps = append(r.steps, "refuse") }
+func (r *stepRecorder) RefuseCalls() { r.record("refuse") }
 
 func (r *stepRecorder) HasConnections() bool {
 	r.connectedChecks--
 	return r.connectedChecks >= 0
 }
 
-func (r *stepRecorder) Leave() { r.steps = append(r.steps, "leave") }
+func (r *stepRecorder) Leave() { r.record("leave") }
 
 func (r *stepRecorder) Stop(ctx context.Context) error {
-	r.steps = append(r.steps, "stop")
+	r.record("stop")
 	r.cutAt, _ = ctx.Deadline()
 	select {
 	case <-r.callsEnded:
@@ -156,3 +166,26 @@
 	source.callback(revision(4, configuration.PlannedStop{VM: "entry-1"}))
 	<-m.StopRequested()
 }
+
+// Planned stops were cut off for a kill that follows signals only, and a signal in one is
+// followed by it.
+func TestPlannedStopIsLimitedOnlyBySignal(t *testing.T) {
+	const killAfter = configuration.Duration(300 * time.Millisecond)
+	m, r, _ := newTestManager(settings.Stop{Timeout: hour, KillAfter: killAfter})
+	m.requestStop(time.Now(), gracefulstop.RequestPlanned, CausePlanned)
+	drained := make(chan error, 1)
+	go func() { drained <- m.Drain(<-m.StopRequested()) }()
+	select {
+	case err := <-drained:
+		t.Fatalf("the planned stop ended with %v", err)
+	case <-time.After(2 * killAfter.Value()):
+	}
+	signalledAt := time.Now()
+	m.requestStop(signalledAt, gracefulstop.RequestStop, CauseSignal)
+	if err := <-drained; err == nil || time.Since(signalledAt) >= killAfter.Value() {
+		t.Errorf("ended %v after the signal with %v", time.Since(signalledAt), err)
+	}
+	if left := r.cutAt.Sub(signalledAt); left < time.Minute {
+		t.Errorf("without a signal calls would have been cut off %v later", left)
+	}
+}
--- a/internal/app/lifecycle/requests.go
+++ b/internal/app/lifecycle/requests.go
@@ -8,7 +8,8 @@
 )
 
 // HandleSignals requests the stop upon the first signal, and its end at once upon an
-// interrupt during the stop. Other signals during the stop change nothing. It returns when
+// interrupt during the stop. Another signal during a stop limits it if it was planned, and
+// changes nothing else. It returns when
 // the channel is closed.
 func (m *Manager) HandleSignals(signals <-chan os.Signal) {
 	for received := range signals {
@@ -28,6 +29,8 @@
 	case gracefulstop.ActionBegin:
 		m.stopping.Store(true)
 		m.stopRequested <- Stop{Cause: cause, RequestedAt: now}
+	case gracefulstop.ActionLimit:
+		m.killAnnounced <- now
 	case gracefulstop.ActionCut:
 		if !m.isCut {
 			m.isCut = true
--- a/internal/core/gracefulstop/gracefulstop_test.go
+++ b/internal/core/gracefulstop/gracefulstop_test.go
@@ -33,22 +33,35 @@
 	}
 }
 
-// A second SIGTERM cut off the calls in progress.
+// A second SIGTERM cut off the calls in progress. A signal in a planned stop is followed by the
+// platform's kill, which nothing limits before.
 func TestOnlyInterruptCutsStopInProgress(t *testing.T) {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	for _, first := range []Request{RequestStop, RequestInterrupt} {
+	for _, steps := range [][]struct {
+		request Request
+		want    Action
+	}{
+		{{RequestStop, ActionBegin}, {RequestStop, ActionNone}, {RequestStop, ActionNone}, {RequestPlanned, ActionNone}, {RequestInterrupt, ActionCut}, {RequestStop, ActionNone}},
+		{{RequestInterrupt, ActionBegin}, {RequestStop, ActionNone}, {RequestStop, ActionNone}, {RequestInterrupt, ActionCut}, {RequestStop, ActionNone}},
+		{{RequestPlanned, ActionBegin}, {RequestPlanned, ActionNone}, {RequestStop, ActionLimit}, {RequestStop, ActionNone}, {RequestInterrupt, ActionCut}},
+		{{RequestPlanned, ActionBegin}, {RequestInterrupt, ActionCut}, {RequestStop, ActionNone}},
+	} {
 		var requests Requests
-		for i, step := range []struct {
-			request Request
-			want    Action
-		}{
-			{first, ActionBegin}, {RequestStop, ActionNone}, {RequestStop, ActionNone}, {RequestInterrupt, ActionCut},
-			{RequestStop, ActionNone},
-		} {
+		for i, step := range steps {
 			action, beganAt := requests.Receive(start.Add(time.Duration(i)*time.Second), step.request)
 			if action != step.want || !beganAt.Equal(start) {
-				t.Errorf("request %d: %v of the stop of %v, want %v", i, action, beganAt, step.want)
+				t.Errorf("request %d of %v: %v of the stop of %v, want %v", i, steps, action, beganAt, step.want)
 			}
 		}
 	}
 }
+
+// A planned stop was cut off before a kill that doesn't follow it.
+func TestPlannedStopLeavesCallsItsWholeTime(t *testing.T) {
+	limits := Limits{Timeout: 15 * time.Minute, KillAfter: 8 * time.Second, AnnouncePeriod: 2500 * time.Millisecond}
+	want := Plan(limits)
+	want.CutAt = limits.Timeout
+	if got := PlanWithoutKill(limits); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/internal/core/gracefulstop/schedule.go
+++ b/internal/core/gracefulstop/schedule.go
@@ -22,7 +22,8 @@
 type Limits struct {
 	// Timeout is when calls in progress are cut off.
 	Timeout time.Duration
-	// KillAfter is when the platform kills the process; zero for never.
+	// KillAfter is the time after a signal at which the platform kills the process; zero for
+	// never.
 	KillAfter time.Duration
 	// AnnouncePeriod is how long load balancers take to stop sending calls.
 	AnnouncePeriod time.Duration
@@ -52,3 +53,11 @@
 		CutAt:         cutAt,
 	}
 }
+
+// PlanWithoutKill returns the schedule of a stop that was planned: the platform doesn't kill
+// the process after it.
+func PlanWithoutKill(limits Limits) Schedule {
+	schedule := Plan(limits)
+	schedule.CutAt = limits.Timeout
+	return schedule
+}
