The estimate of a call's length includes calls that still run

A flood that begins shortly before a stop makes calls longer, and those that have ended are the short ones of it. Calls in progress bound the longest time from below, in proportion to their size. Also gives a slot back before the wait for the end of a call that was given up.

--- a/internal/adapters/callerhttp/opencalls.go
+++ b/internal/adapters/callerhttp/opencalls.go
@@ -92,12 +92,18 @@
 // estimate returns how long the call will take by the latest ones of its kind, or nil if too
 // few are known.
 func (o *openCalls) estimate(call *ports.Call) *gracefulstop.Estimate {
+	now, kind, units := time.Now(), kindOf(call), unitsOf(call)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	estimate, ok := o.lengths.Estimate(time.Now(), kindOf(call), unitsOf(call))
+	estimate, ok := o.lengths.Estimate(now, kind, units)
 	if !ok {
 		return nil
 	}
+	for open := range o.calls {
+		if sentAt, wasSent := open.gate.SentAt(); wasSent && kindOf(open.Call) == kind {
+			estimate.IncludeRunning(units, now.Sub(sentAt), unitsOf(open.Call))
+		}
+	}
 	return &estimate
 }
 
--- a/internal/app/execution/retryloop.go
+++ b/internal/app/execution/retryloop.go
@@ -99,11 +99,11 @@
 		return refusalFromError(err)
 	}
 	isSendable := call.SendGate.Send(time.Now())
-	if !isSendable {
-		<-ctx.Done()
-	}
 	if !isSendable || ctx.Err() != nil || r.sink.CallerGone() {
 		slot.Release(ports.RunReport{})
+		if !isSendable {
+			<-ctx.Done()
+		}
 		return notSentRefusal(ctx)
 	}
 	r.mu.Lock()
--- a/internal/core/gracefulstop/lengths.go
+++ b/internal/core/gracefulstop/lengths.go
@@ -36,6 +36,14 @@
 	Usual, Longest time.Duration
 }
 
+// IncludeRunning raises the longest time by that of a call of the same kind, with an answer of
+// runningUnits, which has not ended yet: the calls that have ended tell late that others take
+// longer.
+func (e *Estimate) IncludeRunning(units int, sinceSent time.Duration, runningUnits int) {
+	part := min(1, float64(max(units, 1))/float64(max(runningUnits, 1)))
+	e.Longest = max(e.Longest, time.Duration(part*float64(sinceSent)))
+}
+
 type recordedLength struct {
 	Length
 	at time.Time
--- a/internal/core/gracefulstop/taking_test.go
+++ b/internal/core/gracefulstop/taking_test.go
@@ -58,6 +58,15 @@
 	expect(0, "question", 1000, Estimate{}, false)
 	record(time.Second, "draft", 5, flooded)
 	expect(time.Second, "draft", 1000, Estimate{Wait: calm, Usual: 1010 * calm, Longest: 1010 * flooded}, true)
+	running, _ := lengths.Estimate(start.Add(time.Second), "draft", 1000)
+	running.IncludeRunning(1000, 8*time.Second, 2000)
+	if running.Longest != 1010*flooded {
+		t.Errorf("longest %v beside a call of twice the size that runs for 8 s", running.Longest)
+	}
+	running.IncludeRunning(1000, 8*time.Second, 500)
+	if running.Longest != 8*time.Second {
+		t.Errorf("longest %v beside a smaller call that runs for 8 s", running.Longest)
+	}
 	for range maxLengths {
 		record(2*time.Second, "draft", 0, flooded)
 	}
