Calls that a stop cuts off are answered if their answer has not begun

What callers saw: a stop that an interrupt or its time ended closed the connections of calls without a byte, and the log gave caller-gone as reason.

TestCallsThatAStopCutsShortAreAnswered failed before: EOF.

--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -237,7 +237,7 @@
 }
 
 // Stop accepts no new connections and waits until each call in progress has ended
-// or the context is done. It then logs the calls still in progress, closes their
+// or the context is done. It then logs and ends the calls still in progress, closes their
 // connections and returns an error.
 func (s *Server) Stop(ctx context.Context) error {
 	cutAt, _ := ctx.Deadline()
@@ -258,7 +258,7 @@
 	if err == nil {
 		return nil
 	}
-	s.logCutCalls()
+	s.cutCalls()
 	if closeErr := s.httpServer.Close(); closeErr != nil {
 		s.logger.Warn().Str("event", "callers-close-failed").Err(closeErr).Msg("")
 	}
--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -7,6 +7,7 @@
 
 	"hawthornstream/internal/core/gracefulstop"
 	"hawthornstream/internal/core/outcome"
+	"hawthornstream/internal/pause"
 	"hawthornstream/internal/ports"
 )
 
@@ -165,7 +166,24 @@
 	}
 	if outlook.UntilCut <= cutAnswerMargin && !call.sink.Begun() {
 		s.callsCut.Inc(call.taken(), "unanswered")
-		call.refuse(&outcome.Refusal{Reason: outcome.ReasonCutByStop, Detail: "the daemon stopped before the call had ended"})
+		call.refuse(newCutRefusal())
+	}
+}
+
+func newCutRefusal() *outcome.Refusal {
+	return &outcome.Refusal{Reason: outcome.ReasonCutByStop, Detail: "the daemon stopped before the call had ended"}
+}
+
+// cutCalls ends the calls in progress. It returns when those without an answer have got one
+// that says whether they ran, or after cutAnswerMargin.
+func (s *Server) cutCalls() {
+	s.logCutCalls()
+	for _, call := range s.openCalls.list() {
+		call.refuse(newCutRefusal())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cutAnswerMargin)
+	defer cancel()
+	for len(s.openCalls.list()) > 0 && pause.For(ctx, drainCheckInterval) {
 	}
 }
 
