Calls that may be repeated are taken in a stop only if nine of ten fit

A refusal costs their callers less than a cut. The longest time of calls that may not be repeated gets a quarter more: the one such call that was cut had outlasted all before it.

--- a/internal/core/gracefulstop/lengths.go
+++ b/internal/core/gracefulstop/lengths.go
@@ -30,10 +30,11 @@
 
 // Estimate is how long a call will take.
 type Estimate struct {
-	// Wait is the usual time until the request is sent.
+	// Wait is the median time until the request is sent.
 	Wait time.Duration
-	// Usual and Longest are times from there to the end of the answer.
-	Usual, Longest time.Duration
+	// P90 and Longest are times from there to the end of the answer: that which nine of ten
+	// calls don't exceed, and the longest.
+	P90, Longest time.Duration
 }
 
 // IncludeRunning raises the longest time by that of a call of the same kind, with an answer of
@@ -115,7 +116,7 @@
 		return Estimate{}, false
 	}
 	units = max(units, 1)
-	var waits, usual []time.Duration
+	var waits, runs []time.Duration
 	var longestFirst, longestRest time.Duration
 	for _, recorded := range known.ring {
 		if now.Sub(recorded.at) > lengthLifetime {
@@ -123,17 +124,18 @@
 		}
 		rest := recorded.restOf(units)
 		waits = append(waits, recorded.Waited)
-		usual = append(usual, recorded.FirstByte+rest)
+		runs = append(runs, recorded.FirstByte+rest)
 		longestFirst = max(longestFirst, recorded.FirstByte)
 		longestRest = max(longestRest, rest)
 	}
-	if len(usual) < minLengths {
+	if len(runs) < minLengths {
 		return Estimate{}, false
 	}
-	return Estimate{Wait: median(waits), Usual: median(usual), Longest: longestFirst + longestRest}, true
+	return Estimate{Wait: quantile(waits, 0.5), P90: quantile(runs, 0.9), Longest: longestFirst + longestRest}, true
 }
 
-func median(durations []time.Duration) time.Duration {
+// quantile returns the q-quantile of the durations, which it sorts.
+func quantile(durations []time.Duration, q float64) time.Duration {
 	slices.Sort(durations)
-	return durations[len(durations)/2]
+	return durations[min(int(q*float64(len(durations))), len(durations)-1)]
 }
--- a/internal/core/gracefulstop/taking.go
+++ b/internal/core/gracefulstop/taking.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// growth is how much longer than the longest of the latest calls one may take: calls get slower
+// while the stopping daemons' load moves to others.
+const growth = 1.25
+
 // Outlook is what is known of a call on a connection that will be cut.
 type Outlook struct {
 	// UntilCut and UntilDeadline are the times left until the connection is cut and until the
@@ -46,7 +50,7 @@
 // runTime is the time that is left for a run.
 func (o Outlook) runTime() time.Duration {
 	if o.Repeatable {
-		return o.Estimate.Usual
+		return o.Estimate.P90
 	}
-	return o.Estimate.Longest
+	return time.Duration(growth * float64(o.Estimate.Longest))
 }
