A stop answers the calls of relayed connections before it closes them

What callers saw: a daemon that stops while it serves connections for others closed these first when its time was over, without call-cut and without an answer; the log gave caller-gone.

TestCallsThatAStopCutsShortAreAnswered failed before for the relayed case: unexpected EOF.

--- a/internal/adapters/callerhttp/handover.go
+++ b/internal/adapters/callerhttp/handover.go
@@ -322,8 +322,7 @@
 }
 
 // stop ends the hand-over: it waits until the calls that were taken over and the relays
-// have ended, or the context is done. It then closes their connections and returns an
-// error.
+// have ended, or the context is done. It then returns an error, and close must follow.
 func (h *handover) stop(ctx context.Context) error {
 	defer h.endStop()
 	err := h.httpServer.Shutdown(ctx)
@@ -340,8 +339,10 @@
 			h.logger.Error().Str("event", "relays-cut").Int64("open", open).Msg("")
 		}
 	}
-	if err != nil {
-		_ = h.httpServer.Close()
-	}
 	return err
 }
+
+// close closes the connections that were taken over.
+func (h *handover) close() {
+	_ = h.httpServer.Close()
+}
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -259,6 +259,9 @@
 		return nil
 	}
 	s.cutCalls()
+	if s.handover != nil {
+		s.handover.close()
+	}
 	if closeErr := s.httpServer.Close(); closeErr != nil {
 		s.logger.Warn().Str("event", "callers-close-failed").Err(closeErr).Msg("")
 	}
--- a/internal/adapters/callerhttp/stopping_test.go
+++ b/internal/adapters/callerhttp/stopping_test.go
@@ -81,27 +81,37 @@
 	}
 }
 
-// An interrupt in a stop closed the connections of calls whose answer had not begun.
+// A stop that was ended early closed the connections of calls whose answer had not begun, at
+// first those that other daemons relay.
 func TestCallsThatAStopCutsShortAreAnswered(t *testing.T) {
-	sent := make(chan struct{})
-	listener, server, _ := newTestServer(t, executorFunc(func(ctx context.Context, call *ports.Call, _ ports.AnswerSink) outcome.Result {
-		call.SendGate.Send(time.Now())
-		close(sent)
-		<-ctx.Done()
-		return refusedBy(ctx, outcome.Unknown)
-	}))
-	stopped := make(chan error, 1)
-	go func() {
-		<-sent
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel()
-		stopped <- server.Stop(ctx)
-	}()
-	response, _ := send(t, newRequest(t, http.MethodPost, listener.URL+"/services/registry/x", ""))
-	if run := response.Header.Get(headerRun); response.StatusCode != http.StatusGatewayTimeout || run != string(outcome.Unknown) {
-		t.Errorf("status %d, run %q", response.StatusCode, run)
-	}
-	if err := <-stopped; err == nil {
-		t.Error("a stop that cut a call off reports no error")
+	for _, isRelayed := range []bool{false, true} {
+		sent := make(chan struct{})
+		runs := executorFunc(func(ctx context.Context, call *ports.Call, _ ports.AnswerSink) outcome.Result {
+			call.SendGate.Send(time.Now())
+			close(sent)
+			<-ctx.Done()
+			return refusedBy(ctx, outcome.Unknown)
+		})
+		late, serving := startHandoverDaemon(t, runs), startHandoverDaemon(t, runs)
+		if isRelayed {
+			serving.offerTo(late)
+			late.makeLate()
+		} else {
+			serving = late
+		}
+		stopped := make(chan error, 1)
+		go func() {
+			<-sent
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			stopped <- serving.Stop(ctx)
+		}()
+		response := late.dial(t).exchange()
+		if run := response.Header.Get(headerRun); response.StatusCode != http.StatusGatewayTimeout || run != string(outcome.Unknown) {
+			t.Errorf("relayed %v: status %d, run %q", isRelayed, response.StatusCode, run)
+		}
+		if err := <-stopped; err == nil {
+			t.Errorf("relayed %v: a stop that cut a call off reports no error", isRelayed)
+		}
 	}
 }
