A peer takes and sends only calls that end before the relay's stop cuts them

What callers saw: calls over a connection that a stopping daemon relays were taken by the peer that serves it during the whole announcement, and cut when the stop's time was over.

Change: RelayStop carries the milliseconds left until the cut. The peer records the earliest cut that any message gave, refuses calls that can't end before it, and gives up waiting ones. Zero is no limit: that of a stop without one, or of a daemon of the earlier version, whose relays' calls are taken as before; the earlier version ignores the field.

stopping.go: cuts may now become unknown again, when the last connection of a stopping relay closes. The watch of cuts looks once more after it has ended, since one that came meanwhile would not be watched; after Stop it isn't started again.

TestPeerTakesNoCallThatEndOfRelaysStopCuts before: "long: status 200, run "ran"", and "waits too long" got no answer before the cut. After: it and the package's other tests of relays and stops passed 5 of 5 times with the race detector.

--- a/internal/adapters/callerhttp/relaystop.go
+++ b/internal/adapters/callerhttp/relaystop.go
@@ -83,13 +83,19 @@
 }
 
 // recordStop records the stop of the daemon that relays the connections with the
-// addresses, and returns for how many of them it is news.
-func (t *takenOverConns) recordStop(addresses []string, state overload.RelayState) int {
+// addresses, which cuts them off at cutAt (zero for never), and returns for how many of them
+// the state is news.
+func (t *takenOverConns) recordStop(addresses []string, state overload.RelayState, cutAt time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	news := 0
 	for _, address := range addresses {
-		if conn, ok := t.conns[address]; ok && conn.advance(state) {
+		conn, ok := t.conns[address]
+		if !ok {
+			continue
+		}
+		conn.cutAt.advance(cutAt)
+		if conn.advance(state) {
 			news++
 		}
 	}
@@ -182,14 +188,24 @@
 
 // sendStop tells peers once which of their connections this daemon relays.
 func (h *handover) sendStop() {
-	refusesCalls := h.server.refusingCalls.Load()
+	refusesCalls, cutIn := h.server.refusingCalls.Load(), h.cutInMillis()
 	for peer, addresses := range h.relaysByPeer.addresses() {
 		for part := range slices.Chunk(addresses, maxRelaysPerMessage) {
-			h.table.transport.Send(peer, &ports.RelayStop{Connections: part, RefusesCalls: refusesCalls})
+			h.table.transport.Send(peer, &ports.RelayStop{Connections: part, RefusesCalls: refusesCalls, CutInMillis: cutIn})
 		}
 	}
 }
 
+// cutInMillis returns the time until this daemon's stop cuts relays off, at least 1; zero if it
+// never does.
+func (h *handover) cutInMillis() int64 {
+	cutAt, ok := h.server.cutAt.get()
+	if !ok {
+		return 0
+	}
+	return max(time.Until(cutAt).Milliseconds(), 1)
+}
+
 // announceRefusal lets peers know at once that this daemon refuses further calls.
 func (h *handover) announceRefusal() {
 	select {
@@ -201,13 +217,20 @@
 // handleRelayStop records the stop of a daemon that relays connections to this one.
 func (h *handover) handleRelayStop(from ports.DaemonID, message *ports.RelayStop) {
 	state := overload.RelayStateOf(message.RefusesCalls)
-	news := h.takenOverConns.recordStop(message.Connections, state)
+	var cutAt time.Time
+	if message.CutInMillis > 0 {
+		cutAt = time.Now().Add(time.Duration(message.CutInMillis) * time.Millisecond)
+	}
+	news := h.takenOverConns.recordStop(message.Connections, state, cutAt)
+	if h.server.hasCut() {
+		h.server.watchCuts()
+	}
 	if news == 0 {
 		return
 	}
 	h.relayStops.Add(int64(news), state.String())
 	if h.logLimiter.Allow("relay-stops", string(from)) {
 		h.logger.Info().Str("event", "relay-stops").Str("peer", string(from)).Int("connections", news).
-			Bool("refusesCalls", message.RefusesCalls).Msg("")
+			Bool("refusesCalls", message.RefusesCalls).Int64("cutIn", message.CutInMillis).Msg("")
 	}
 }
--- a/internal/adapters/callerhttp/relaystop_test.go
+++ b/internal/adapters/callerhttp/relaystop_test.go
@@ -115,6 +115,73 @@
 	}
 }
 
+// The peer took calls on relayed connections, and kept them waiting, that were cut at the end of
+// the relay's stop.
+func TestPeerTakesNoCallThatEndOfRelaysStopCuts(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		execute executorFunc
+		// length is how long earlier calls took. The stop ends after cutAfter.
+		length, cutAfter time.Duration
+		wantStatus       int
+		wantRun          outcome.RunState
+	}{
+		{"short", answerWith("answer"), time.Second, 10 * time.Second, http.StatusOK, outcome.Ran},
+		{"long", answerWith("answer"), 11 * time.Second, 10 * time.Second, http.StatusServiceUnavailable, outcome.NotRun},
+		{"waits too long", waitUntilRefused, 500 * time.Millisecond, time.Second, http.StatusServiceUnavailable, outcome.NotRun},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			late, idle := startHandoverDaemon(t, answerWith("late")), startHandoverDaemon(t, tt.execute)
+			idle.recordLengths(tt.length)
+			idle.offerTo(late)
+			late.makeLate()
+			conn := late.dial(t)
+			late.waitForRelay(t)
+			// A signal in a planned stop moves its end.
+			late.AnnounceStop(time.Now().Add(time.Hour))
+			idle.waitForRelayStops(t, "closing", 1)
+			cutAt := time.Now().Add(tt.cutAfter)
+			late.AnnounceStop(cutAt)
+			idle.waitForCut(t, time.Minute)
+			if err := conn.conn.SetDeadline(cutAt); err != nil {
+				t.Fatal(err)
+			}
+			response := conn.exchange()
+			if run := response.Header.Get(headerRun); response.StatusCode != tt.wantStatus || run != string(tt.wantRun) || !response.Close {
+				t.Errorf("status %d, run %q, closes %v", response.StatusCode, run, response.Close)
+			}
+		})
+	}
+}
+
+// waitForCut waits until a connection that the daemon took over is known to be cut off within
+// the time.
+func (d *handoverDaemon) waitForCut(t *testing.T, within time.Duration) {
+	t.Helper()
+	conns := d.handover.takenOverConns
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		conns.mu.Lock()
+		for _, conn := range conns.conns {
+			if cutAt, ok := conn.cutAt.get(); ok && time.Until(cutAt) < within {
+				conns.mu.Unlock()
+				return
+			}
+		}
+		conns.mu.Unlock()
+	}
+	t.Fatal("no connection is known to be cut off")
+}
+
+// waitForRelay waits until the daemon relays a connection.
+func (d *handoverDaemon) waitForRelay(t *testing.T) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); len(d.handover.relaysByPeer.addresses()) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no connection is relayed")
+		}
+	}
+}
+
 // A peer was being asked for a connection when the stop began.
 func TestStoppingDaemonHandsNoMoreConnectionsOver(t *testing.T) {
 	late, idle := startHandoverDaemon(t, answerWith("late")), startHandoverDaemon(t, answerWith("idle"))
@@ -167,7 +234,7 @@
 	conns.add(first)
 	conns.add(second)
 	conns.connState(first, http.StateClosed)
-	if news := conns.recordStop([]string{address}, overload.RelayRefusing); news != 1 {
+	if news := conns.recordStop([]string{address}, overload.RelayRefusing, time.Time{}); news != 1 {
 		t.Errorf("the stop is news for %d connections, want 1", news)
 	}
 	conns.connState(second, http.StateClosed)
--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -127,7 +127,6 @@
 		return
 	}
 	go func() {
-		defer s.watchingCuts.Store(false)
 		ticker := time.NewTicker(cutCheckInterval)
 		defer ticker.Stop()
 		for s.hasCut() {
@@ -140,6 +139,11 @@
 			case <-ticker.C:
 			}
 		}
+		s.watchingCuts.Store(false)
+		// A cut may have become known since the last look.
+		if s.hasCut() {
+			s.watchCuts()
+		}
 	}()
 }
 
--- a/internal/adapters/callerhttp/stopping_test.go
+++ b/internal/adapters/callerhttp/stopping_test.go
@@ -30,13 +30,15 @@
 	return outcome.Result{End: end, Refusal: &copied}
 }
 
+// waitUntilRefused executes a call that gets no server.
+func waitUntilRefused(ctx context.Context, _ *ports.Call, _ ports.AnswerSink) outcome.Result {
+	<-ctx.Done()
+	return refusedBy(ctx, outcome.NotRun)
+}
+
 // Until the announcement of a stop had ended, every call was taken, and cut if it lasted until
 // the stop's end. Calls that waited for a server were sent however little time was left.
 func TestStopCutsNoCallThatItTook(t *testing.T) {
-	waits := func(ctx context.Context, _ *ports.Call, _ ports.AnswerSink) outcome.Result {
-		<-ctx.Done()
-		return refusedBy(ctx, outcome.NotRun)
-	}
 	runs := func(ctx context.Context, call *ports.Call, _ ports.AnswerSink) outcome.Result {
 		call.SendGate.Send(time.Now())
 		<-ctx.Done()
@@ -57,7 +59,7 @@
 		{"ends by its deadline", answers, 0, 10 * time.Second, "5s", http.StatusOK, outcome.Ran},
 		{"short", answers, time.Second, 10 * time.Second, "", http.StatusOK, outcome.Ran},
 		{"long", answers, 11 * time.Second, 10 * time.Second, "", http.StatusServiceUnavailable, outcome.NotRun},
-		{"waits too long", waits, 300 * time.Millisecond, 500 * time.Millisecond, "", http.StatusServiceUnavailable, outcome.NotRun},
+		{"waits too long", waitUntilRefused, 300 * time.Millisecond, 500 * time.Millisecond, "", http.StatusServiceUnavailable, outcome.NotRun},
 		{"longer than any before", runs, time.Millisecond, 300 * time.Millisecond, "", http.StatusGatewayTimeout, outcome.Unknown},
 	} {
 		listener, server, _ := newTestServer(t, tt.execute)
--- a/internal/ports/handover.go
+++ b/internal/ports/handover.go
@@ -29,6 +29,9 @@
 	// RefusesCalls is true once the sender refuses further calls of its callers; before,
 	// it only asks them to close their connections.
 	RefusesCalls bool `cbor:"2,keyasint,omitempty"`
+	// CutInMillis is the time in milliseconds until the sender cuts the connections off; zero
+	// if its stop has no limit, or the sender is of a version that doesn't tell.
+	CutInMillis int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Kind implements Message.
