A daemon vouches for its relays, and peers refuse calls on silent ones

What callers saw: if none of a stopping daemon's messages reached a peer, the peer took calls on the relayed connections during the whole stop, and they were cut with the relays.

Cause: a peer took silence of the relaying daemon for "does not stop".

Change: RelayStop is RelayReport. A daemon that does not stop names in it, every 500 ms, its relays that are as old. The peer refuses further calls, not run and with Connection: close, on a connection that no report has named for 1.8 s (core/overload). Calls in progress go on; answers on connections of that age ask to close already. callers_calls_refused_of_silent_relays and relay-silent show it. Peers learn at once that a cut has moved earlier. Stop waits for the end of the goroutine that reports.

The earlier version does not vouch: a peer of this version refuses calls on its relays from 1.8 s on, which costs those callers a connection each until all daemons of the failure domain have changed. Its messages of a stop are understood as before, without a cut.

Tests: TestStopOfManyRelaysFitsIntoMessages is TestReportOfManyRelays... and covers both reports; the bounds are the same, and the relays vouched for may be more than once, since the daemon also reports by itself.

--- a/internal/adapters/callerhttp/handover.go
+++ b/internal/adapters/callerhttp/handover.go
@@ -67,14 +67,15 @@
 	// returned accepts the connections that no peer took over.
 	returned     *returnedListener
 	relays       sync.WaitGroup
+	reports      sync.WaitGroup
 	openRelays   atomic.Int64
 	relaysByPeer *openRelays
 	stopOnce     sync.Once
 	stoppedOnce  sync.Once
-	// stopped is closed when stop has returned. callsRefused is signalled when this daemon
-	// begins to refuse calls.
-	stopped      chan struct{}
-	callsRefused chan struct{}
+	// stopped is closed when stop has returned. stopChanged is signalled when peers are to
+	// learn something new of this daemon's stop.
+	stopped     chan struct{}
+	stopChanged chan struct{}
 	// inProgress is the number of connections for which peers are being asked.
 	inProgress atomic.Int64
 	relayGauge tally.Gauge
@@ -90,8 +91,10 @@
 	takenOver    tally.Counter
 	// relayStops counts the connections taken over whose relaying daemon stops.
 	relayStops *metrics.CounterVec
-	logLimiter *logging.Limiter
-	logger     *log.Logger
+	// refusedOfSilent counts the calls refused since the relaying daemon is silent.
+	refusedOfSilent tally.Counter
+	logLimiter      *logging.Limiter
+	logger          *log.Logger
 }
 
 // newHandover returns the hand-over of a server, or nil if the settings or the platform
@@ -102,16 +105,17 @@
 	}
 	h := &handover{
 		server: server, address: s.Listen.Handover, table: table,
-		relayGauge: scope.Gauge("relays"),
-		partGauge:  scope.Gauge("handed_over_part"),
-		useGauge:   scope.Gauge("processor_use"),
-		outcomes:   metrics.NewCounterVec(scope, "connections_handed_over", "outcome"),
-		refused:    metrics.NewCounterVec(scope, "take_overs_refused", "reason"),
-		takenOver:  scope.Counter("connections_taken_over"),
-		relayStops: metrics.NewCounterVec(scope, "taken_over_connections_stopping", "relay"),
-		logLimiter: server.logLimiter, logger: server.logger,
+		relayGauge:      scope.Gauge("relays"),
+		partGauge:       scope.Gauge("handed_over_part"),
+		useGauge:        scope.Gauge("processor_use"),
+		outcomes:        metrics.NewCounterVec(scope, "connections_handed_over", "outcome"),
+		refused:         metrics.NewCounterVec(scope, "take_overs_refused", "reason"),
+		takenOver:       scope.Counter("connections_taken_over"),
+		relayStops:      metrics.NewCounterVec(scope, "taken_over_connections_stopping", "relay"),
+		refusedOfSilent: scope.Counter("calls_refused_of_silent_relays"),
+		logLimiter:      server.logLimiter, logger: server.logger,
 		takenOverConns: newTakenOverConns(), relaysByPeer: newOpenRelays(),
-		stopped: make(chan struct{}), callsRefused: make(chan struct{}, 1),
+		stopped: make(chan struct{}), stopChanged: make(chan struct{}, 1),
 	}
 	h.httpServer = server.newHTTPServer(takenOverIdleTimeout, func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(server.connections.connContext(ctx, conn), takenOverKey{}, h.takenOverConns.add(conn))
@@ -120,9 +124,11 @@
 		h.takenOverConns.connState(conn, state)
 		server.connections.connState(conn, state)
 	}
-	table.transport.Handle(ports.KindRelayStop,
-		func() ports.Message { return &ports.RelayStop{} },
-		func(from ports.DaemonID, message ports.Message) { h.handleRelayStop(from, message.(*ports.RelayStop)) })
+	table.transport.Handle(ports.KindRelayReport,
+		func() ports.Message { return &ports.RelayReport{} },
+		func(from ports.DaemonID, message ports.Message) {
+			h.handleRelayReport(from, message.(*ports.RelayReport))
+		})
 	return h
 }
 
@@ -145,6 +151,7 @@
 	}
 	go serve(h.httpServer, listener)
 	go serve(h.server.httpServer, returned)
+	h.reports.Go(h.reportRelays)
 	h.table.start(inner.Addr().String())
 	return nil
 }
@@ -325,7 +332,7 @@
 // have ended, or the context is done. It then closes their connections and returns an
 // error.
 func (h *handover) stop(ctx context.Context) error {
-	defer h.endStop()
+	defer h.endReports()
 	err := h.httpServer.Shutdown(ctx)
 	done := make(chan struct{})
 	go func() {
--- a/internal/adapters/callerhttp/relaystop.go
+++ b/internal/adapters/callerhttp/relayreport.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,8 +13,8 @@
 	"hawthornstream/internal/ports"
 )
 
-// relayStopInterval is the time between two messages to a peer about the stop of this
-// daemon: a message may be lost, and a connection may have been handed over just before.
+// relayStopInterval is the time between two reports to a peer about the stop of this
+// daemon: one may be lost, and a connection may have been handed over just before.
 const relayStopInterval = 200 * time.Millisecond
 
 // maxRelaysPerMessage keeps messages below the limit of the transport, which drops larger
@@ -28,6 +29,20 @@
 	relay atomic.Uint32
 	// cutAt is when the stop of the relaying daemon cuts the connection off.
 	cutAt cutTime
+	// reportedAge is the age at the last report of the relaying daemon, in nanoseconds; zero
+	// before the first one.
+	reportedAge atomic.Int64
+}
+
+// recordReport records that the relaying daemon has reported the connection.
+func (c *takenOverConn) recordReport() {
+	c.reportedAge.Store(int64(time.Since(c.takenOverAt)))
+}
+
+// silence returns the time since the last report, or since the connection was taken over.
+func (c *takenOverConn) silence() time.Duration {
+	reportedAge := time.Duration(c.reportedAge.Load())
+	return time.Since(c.takenOverAt) - reportedAge
 }
 
 // relayState returns what the relaying daemon has said of its stop.
@@ -94,6 +109,7 @@
 		if !ok {
 			continue
 		}
+		conn.recordReport()
 		conn.cutAt.advance(cutAt)
 		if conn.advance(state) {
 			news++
@@ -102,6 +118,18 @@
 	return news
 }
 
+// recordOpen records that the daemon that relays the connections with the addresses doesn't
+// stop.
+func (t *takenOverConns) recordOpen(host string, ports []uint16) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, port := range ports {
+		if conn, ok := t.conns[net.JoinHostPort(host, strconv.Itoa(int(port)))]; ok {
+			conn.recordReport()
+		}
+	}
+}
+
 // anyCut reports whether a connection is known to be cut off by the stop of its relay.
 func (t *takenOverConns) anyCut() bool {
 	t.mu.Lock()
@@ -114,26 +142,39 @@
 	return false
 }
 
-// openRelays are the connections that this daemon relays, by the daemon that serves them,
-// with this daemon's address toward it. It is safe for concurrent use.
+// openRelays are the connections that this daemon relays, by the daemon that serves them. It
+// is safe for concurrent use.
 type openRelays struct {
 	mu     sync.Mutex
-	byPeer map[ports.DaemonID]map[net.Conn]string
+	byPeer map[ports.DaemonID]map[net.Conn]openRelay
+}
+
+// openRelay is a connection to the daemon that serves it.
+type openRelay struct {
+	// address is this daemon's end.
+	address *net.TCPAddr
+	since   time.Time
+}
+
+// relayEnd is an address of this daemon toward a peer.
+type relayEnd struct {
+	peer ports.DaemonID
+	host string
 }
 
 func newOpenRelays() *openRelays {
-	return &openRelays{byPeer: make(map[ports.DaemonID]map[net.Conn]string)}
+	return &openRelays{byPeer: make(map[ports.DaemonID]map[net.Conn]openRelay)}
 }
 
 // add records a relayed connection until the returned function is called.
 func (r *openRelays) add(peer ports.DaemonID, conn net.Conn) (remove func()) {
-	address := conn.LocalAddr().String()
+	relay := openRelay{address: conn.LocalAddr().(*net.TCPAddr), since: time.Now()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.byPeer[peer] == nil {
-		r.byPeer[peer] = make(map[net.Conn]string)
+		r.byPeer[peer] = make(map[net.Conn]openRelay)
 	}
-	r.byPeer[peer][conn] = address
+	r.byPeer[peer][conn] = relay
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -150,48 +191,91 @@
 	defer r.mu.Unlock()
 	byPeer := make(map[ports.DaemonID][]string, len(r.byPeer))
 	for peer, conns := range r.byPeer {
-		for _, address := range conns {
-			byPeer[peer] = append(byPeer[peer], address)
+		for _, relay := range conns {
+			byPeer[peer] = append(byPeer[peer], relay.address.String())
 		}
 	}
 	return byPeer
 }
 
+// vouchedPorts returns the ports of the relayed connections that are reported while this
+// daemon doesn't stop.
+func (r *openRelays) vouchedPorts(now time.Time) map[relayEnd][]uint16 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	byEnd := make(map[relayEnd][]uint16)
+	for peer, conns := range r.byPeer {
+		for _, relay := range conns {
+			if overload.ShouldVouch(now.Sub(relay.since)) {
+				address := relay.address.AddrPort()
+				end := relayEnd{peer: peer, host: address.Addr().Unmap().String()}
+				byEnd[end] = append(byEnd[end], address.Port())
+			}
+		}
+	}
+	return byEnd
+}
+
 // announceStop ends handing over, and tells the daemons that serve connections for this
-// one until stop has returned. Only the first call has an effect.
+// one. It may be called again when the stop is to end earlier.
 func (h *handover) announceStop() {
 	h.stopOnce.Do(func() {
 		h.table.announceStop()
 		h.logger.Info().Str("event", "relays-stopping").Int64("open", h.openRelays.Load()).Msg("")
-		go h.tellPeersOfStop()
 	})
+	h.reportNow()
 }
 
-// endStop ends the messages of announceStop. It may be called more than once.
-func (h *handover) endStop() {
+// endReports ends the reports to peers. It may be called more than once.
+func (h *handover) endReports() {
 	h.stoppedOnce.Do(func() { close(h.stopped) })
+	h.reports.Wait()
 }
 
-func (h *handover) tellPeersOfStop() {
-	ticker := time.NewTicker(relayStopInterval)
+// reportRelays tells peers which of their connections this daemon relays, until stop has
+// returned.
+func (h *handover) reportRelays() {
+	ticker := time.NewTicker(overload.VouchInterval)
 	defer ticker.Stop()
 	for {
-		h.sendStop()
 		select {
 		case <-h.stopped:
 			return
-		case <-h.callsRefused:
+		case <-h.stopChanged:
+			ticker.Reset(relayStopInterval)
 		case <-ticker.C:
 		}
+		if h.server.stopAnnounced.Load() {
+			h.sendStop()
+		} else {
+			h.vouch(time.Now())
+		}
+	}
+}
+
+// reportNow lets peers know at once how far this daemon's stop is.
+func (h *handover) reportNow() {
+	select {
+	case h.stopChanged <- struct{}{}:
+	default:
+	}
+}
+
+// vouch tells peers once which of their connections this daemon relays and doesn't cut.
+func (h *handover) vouch(now time.Time) {
+	for end, open := range h.relaysByPeer.vouchedPorts(now) {
+		for part := range slices.Chunk(open, maxRelaysPerMessage) {
+			h.table.transport.Send(end.peer, &ports.RelayReport{OpenHost: end.host, OpenPorts: part})
+		}
 	}
 }
 
-// sendStop tells peers once which of their connections this daemon relays.
+// sendStop tells peers once which of their connections this daemon's stop ends.
 func (h *handover) sendStop() {
 	refusesCalls, cutIn := h.server.refusingCalls.Load(), h.cutInMillis()
 	for peer, addresses := range h.relaysByPeer.addresses() {
 		for part := range slices.Chunk(addresses, maxRelaysPerMessage) {
-			h.table.transport.Send(peer, &ports.RelayStop{Connections: part, RefusesCalls: refusesCalls, CutInMillis: cutIn})
+			h.table.transport.Send(peer, &ports.RelayReport{Connections: part, RefusesCalls: refusesCalls, CutInMillis: cutIn})
 		}
 	}
 }
@@ -206,16 +290,12 @@
 	return max(time.Until(cutAt).Milliseconds(), 1)
 }
 
-// announceRefusal lets peers know at once that this daemon refuses further calls.
-func (h *handover) announceRefusal() {
-	select {
-	case h.callsRefused <- struct{}{}:
-	default:
+// handleRelayReport records what a daemon says of the connections that it relays to this one.
+func (h *handover) handleRelayReport(from ports.DaemonID, message *ports.RelayReport) {
+	h.takenOverConns.recordOpen(message.OpenHost, message.OpenPorts)
+	if len(message.Connections) == 0 {
+		return
 	}
-}
-
-// handleRelayStop records the stop of a daemon that relays connections to this one.
-func (h *handover) handleRelayStop(from ports.DaemonID, message *ports.RelayStop) {
 	state := overload.RelayStateOf(message.RefusesCalls)
 	var cutAt time.Time
 	if message.CutInMillis > 0 {
--- a/internal/adapters/callerhttp/relaystop_test.go
+++ b/internal/adapters/callerhttp/relayreport_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -46,6 +47,13 @@
 	}
 }
 
+// lose makes the transport lose so many further messages.
+func (l *linkedTransport) lose(messages int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lost = messages
+}
+
 func (l *linkedTransport) link(name ports.DaemonID, peer *linkedTransport) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -72,7 +80,12 @@
 // exchange sends a request and returns its answer with the body read.
 func (c *keptConnection) exchange() *http.Response {
 	c.t.Helper()
-	request := newRequest(c.t, http.MethodPost, "http://callers/services/registry/x", "body")
+	return c.exchangeBody("body")
+}
+
+func (c *keptConnection) exchangeBody(body string) *http.Response {
+	c.t.Helper()
+	request := newRequest(c.t, http.MethodPost, "http://callers/services/registry/x", body)
 	if err := request.Write(c.conn); err != nil {
 		c.t.Fatal(err)
 	}
@@ -100,13 +113,13 @@
 				t.Fatalf("status %d, closes %v before the stop", response.StatusCode, response.Close)
 			}
 		}
-		late.transport.lost = lost
+		late.transport.lose(lost)
 		late.AnnounceStop(time.Time{})
 		idle.waitForRelayStops(t, "closing", 2)
 		if response := closing.exchange(); response.StatusCode != http.StatusOK || !response.Close {
 			t.Errorf("status %d, closes %v after the announcement", response.StatusCode, response.Close)
 		}
-		late.transport.lost = lost
+		late.transport.lose(lost)
 		late.RefuseCalls()
 		idle.waitForRelayStops(t, "refusing", 1)
 		if response := refusing.exchange(); response.StatusCode != http.StatusServiceUnavailable || !response.Close {
@@ -154,6 +167,52 @@
 	}
 }
 
+// None of a stopping daemon's messages reached the peer, which took calls until they were cut
+// with the relay.
+func TestPeerTakesNoCallsFromRelayThatIsSilentForAnAnnouncement(t *testing.T) {
+	const announcement = 2 * time.Second
+	for _, tt := range []struct {
+		name       string
+		lost       int
+		wantStatus int
+		wantRun    outcome.RunState
+	}{
+		{"stops, all messages lost", math.MaxInt, http.StatusServiceUnavailable, outcome.NotRun},
+		{"doesn't stop, a message lost", 1, http.StatusOK, outcome.Ran},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			late, idle := startHandoverDaemon(t, answerWith("late")), startHandoverDaemon(t, executorFunc(
+				func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) outcome.Result {
+					if string(call.Body) == "long" {
+						time.Sleep(announcement)
+					}
+					return answerWith("idle")(ctx, call, sink)
+				}))
+			idle.offerTo(late)
+			late.makeLate()
+			late.transport.lose(tt.lost)
+			kept, inProgress := late.dial(t), late.dial(t)
+			for _, conn := range []*keptConnection{kept, inProgress} {
+				if response := conn.exchange(); response.StatusCode != http.StatusOK || response.Close {
+					t.Fatalf("status %d, closes %v", response.StatusCode, response.Close)
+				}
+			}
+			if tt.lost == math.MaxInt {
+				late.AnnounceStop(time.Time{})
+			}
+			// This one is in progress for the announcement.
+			if response := inProgress.exchangeBody("long"); response.StatusCode != http.StatusOK || !response.Close {
+				t.Errorf("in progress: status %d, closes %v", response.StatusCode, response.Close)
+			}
+			response := kept.exchange()
+			if run := response.Header.Get(headerRun); response.StatusCode != tt.wantStatus || run != string(tt.wantRun) || !response.Close {
+				t.Errorf("status %d, run %q, closes %v", response.StatusCode, run, response.Close)
+			}
+		})
+	}
+}
+
 // waitForCut waits until a connection that the daemon took over is known to be cut off within
 // the time.
 func (d *handoverDaemon) waitForCut(t *testing.T, within time.Duration) {
@@ -290,16 +349,19 @@
 
 // A daemon with room for a million connections stops while nearly all new ones are handed
 // over to one peer. The transport drops messages above its limit.
-func TestStopOfManyRelaysFitsIntoMessages(t *testing.T) {
+func TestReportOfManyRelaysFitsIntoMessages(t *testing.T) {
 	const relays = 200_000
-	var told int
-	var largest int
+	var mu sync.Mutex
+	var told, vouched, largest int
 	linked := &linkedTransport{}
-	linked.Handle(ports.KindRelayStop, nil, func(_ ports.DaemonID, message ports.Message) {
-		connections := message.(*ports.RelayStop).Connections
-		told += len(connections)
-		size := 0
-		for _, address := range connections {
+	linked.Handle(ports.KindRelayReport, nil, func(_ ports.DaemonID, message ports.Message) {
+		mu.Lock()
+		defer mu.Unlock()
+		report := message.(*ports.RelayReport)
+		told += len(report.Connections)
+		vouched += len(report.OpenPorts)
+		size := len(report.OpenHost) + 3*len(report.OpenPorts)
+		for _, address := range report.Connections {
 			size += len(address)
 		}
 		largest = max(largest, size)
@@ -310,8 +372,11 @@
 		late.handover.relaysByPeer.add("peer", &sameAddresses{number: i})
 	}
 	late.handover.sendStop()
-	if told != relays || largest > 1<<16 {
-		t.Errorf("told of %d relays, in messages of up to %d B", told, largest)
+	late.handover.vouch(time.Now().Add(time.Minute))
+	mu.Lock()
+	defer mu.Unlock()
+	if told != relays || vouched < relays || largest > 1<<16 {
+		t.Errorf("told of %d relays and vouched for %d, in messages of up to %d B", told, vouched, largest)
 	}
 }
 
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -218,7 +218,7 @@
 func (s *Server) RefuseCalls() {
 	s.refusingCalls.Store(true)
 	if s.handover != nil {
-		s.handover.announceRefusal()
+		s.handover.reportNow()
 	}
 }
 
--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -70,10 +70,10 @@
 // connection to it, refuses further calls, and nil before. Such a call arrives over a
 // connection that the stop has not closed yet.
 func (s *Server) stoppingRefusal(ctx context.Context) *outcome.Refusal {
-	if !s.refusingCalls.Load() && !isRelayRefusingCalls(ctx) {
-		return nil
+	if s.refusingCalls.Load() {
+		return newStoppingRefusal("the daemon is stopping")
 	}
-	return newStoppingRefusal("the daemon is stopping")
+	return s.relayRefusal(ctx)
 }
 
 func newStoppingRefusal(detail string) *outcome.Refusal {
--- a/internal/adapters/callerhttp/takeover.go
+++ b/internal/adapters/callerhttp/takeover.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/core/overload"
 )
 
@@ -70,11 +71,26 @@
 	return takenOver, takenOver && overload.ShouldCloseTakenOver(time.Since(conn.takenOverAt), conn.relayState())
 }
 
-// isRelayRefusingCalls reports whether the request came over a connection of which the
-// relaying daemon refuses further calls.
-func isRelayRefusingCalls(ctx context.Context) bool {
+// relayRefusal returns a refusal of a call on a connection that was taken over if the daemon
+// that relays it refuses calls, or is silent and may do so, and nil for others.
+func (s *Server) relayRefusal(ctx context.Context) *outcome.Refusal {
 	conn, takenOver := ctx.Value(takenOverKey{}).(*takenOverConn)
-	return takenOver && overload.ShouldRefuseTakenOver(conn.relayState())
+	if !takenOver {
+		return nil
+	}
+	silence, relay := conn.silence(), conn.relayState()
+	switch {
+	case !overload.ShouldRefuseTakenOver(silence, relay):
+		return nil
+	case relay == overload.RelayRefusing:
+		return newStoppingRefusal("the daemon that relays the connection is stopping")
+	}
+	s.handover.refusedOfSilent.Inc(1)
+	if s.logLimiter.Allow("relay-silent", "") {
+		s.logger.Warn().Str("event", "relay-silent").Stringer("relay", conn.conn.RemoteAddr()).Dur("silence", silence).
+			Str("state", relay.String()).Msg("")
+	}
+	return newStoppingRefusal("the daemon that relays the connection may be stopping")
 }
 
 // returnedListener passes connections that no peer took over to this daemon's server.
--- a/internal/ports/handover.go
+++ b/internal/ports/handover.go
@@ -21,21 +21,29 @@
 	SetPeerOffer(from DaemonID, offer *HandoverOffer)
 }
 
-// RelayStop tells a daemon that the sender, which relays callers' connections to it, stops.
-// It is sent repeatedly while such connections are open.
-type RelayStop struct {
-	// Connections are the sender's ends of the relayed connections, each as "ip:port".
-	Connections []string `cbor:"1,keyasint"`
+// RelayReport tells a daemon which callers' connections the sender relays to it, and whether a
+// stop of the sender will end them. It is sent repeatedly while such connections are open.
+//
+// A report that no stop is near leaves Connections empty: daemons of the earlier version take
+// each of them for one that a stop ends.
+type RelayReport struct {
+	// Connections are the sender's ends of the relayed connections, each as "ip:port", if the
+	// sender stops.
+	Connections []string `cbor:"1,keyasint,omitempty"`
 	// RefusesCalls is true once the sender refuses further calls of its callers; before,
 	// it only asks them to close their connections.
 	RefusesCalls bool `cbor:"2,keyasint,omitempty"`
 	// CutInMillis is the time in milliseconds until the sender cuts the connections off; zero
 	// if its stop has no limit, or the sender is of a version that doesn't tell.
 	CutInMillis int64 `cbor:"3,keyasint,omitempty"`
+	// OpenHost and OpenPorts are the IP address and the ports of the sender's ends of relayed
+	// connections, if it doesn't stop.
+	OpenHost  string   `cbor:"4,keyasint,omitempty"`
+	OpenPorts []uint16 `cbor:"5,keyasint,omitempty"`
 }
 
 // Kind implements Message.
-func (*RelayStop) Kind() MessageKind { return KindRelayStop }
+func (*RelayReport) Kind() MessageKind { return KindRelayReport }
 
 // HandoverStatus is the state of handing callers' connections over.
 type HandoverStatus struct {
--- a/internal/ports/peer.go
+++ b/internal/ports/peer.go
@@ -28,7 +28,7 @@
 	KindStreamOriginShare   MessageKind = 43
 	KindEvacuationPull      MessageKind = 50
 	KindEvacuationPush      MessageKind = 51
-	KindRelayStop           MessageKind = 60
+	KindRelayReport         MessageKind = 60
 )
 
 // Message is one typed message between daemons. Its fields are encoded as CBOR
