--- a/internal/adapters/callerhttp/relaystop_test.go
+++ b/internal/adapters/callerhttp/relayreport_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -46,6 +47,13 @@
 	}
 }
 
+// lose makes the transport lose so many further messages.
+func (l *linkedTransport) lose(messages int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lost = messages
+}
+
 func (l *linkedTransport) link(name ports.DaemonID, peer *linkedTransport) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -72,7 +80,12 @@
 // exchange sends a request and returns its answer with the body read.
 func (c *keptConnection) exchange() *http.Response {
 	c.t.Helper()
-	request := newRequest(c.t, http.MethodPost, "http://callers/services/registry/x", "body")
+	return c.exchangeBody("body")
+}
+
+func (c *keptConnection) exchangeBody(body string) *http.Response {
+	c.t.Helper()
+	request := newRequest(c.t, http.MethodPost, "http://callers/services/registry/x", body)
 	if err := request.Write(c.conn); err != nil {
 		c.t.Fatal(err)
 	}
@@ -100,13 +113,13 @@
 				t.Fatalf("status %d, closes %v before the stop", response.StatusCode, response.Close)
 			}
 		}
-		late.transport.lost = lost
+		late.transport.lose(lost)
 		late.AnnounceStop(time.Time{})
 		idle.waitForRelayStops(t, "closing", 2)
 		if response := closing.exchange(); response.StatusCode != http.StatusOK || !response.Close {
 			t.Errorf("status %d, closes %v after the announcement", response.StatusCode, response.Close)
 		}
-		late.transport.lost = lost
+		late.transport.lose(lost)
 		late.RefuseCalls()
 		idle.waitForRelayStops(t, "refusing", 1)
 		if response := refusing.exchange(); response.StatusCode != http.StatusServiceUnavailable || !response.Close {
@@ -115,6 +128,119 @@
 	}
 }
 
+// The peer took calls on relayed connections, and kept them waiting, that were cut at the end of
+// the relay's stop.
+func TestPeerTakesNoCallThatEndOfRelaysStopCuts(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		execute executorFunc
+		// length is how long earlier calls took. The stop ends after cutAfter.
+		length, cutAfter time.Duration
+		wantStatus       int
+		wantRun          outcome.RunState
+	}{
+		{"short", answerWith("answer"), time.Second, 10 * time.Second, http.StatusOK, outcome.Ran},
+		{"long", answerWith("answer"), 11 * time.Second, 10 * time.Second, http.StatusServiceUnavailable, outcome.NotRun},
+		{"waits too long", waitUntilRefused, 500 * time.Millisecond, time.Second, http.StatusServiceUnavailable, outcome.NotRun},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			late, idle := startHandoverDaemon(t, answerWith("late")), startHandoverDaemon(t, tt.execute)
+			idle.recordLengths(tt.length)
+			idle.offerTo(late)
+			late.makeLate()
+			conn := late.dial(t)
+			late.waitForRelay(t)
+			// A signal in a planned stop moves its end.
+			late.AnnounceStop(time.Now().Add(time.Hour))
+			idle.waitForRelayStops(t, "closing", 1)
+			cutAt := time.Now().Add(tt.cutAfter)
+			late.AnnounceStop(cutAt)
+			idle.waitForCut(t, time.Minute)
+			if err := conn.conn.SetDeadline(cutAt); err != nil {
+				t.Fatal(err)
+			}
+			response := conn.exchange()
+			if run := response.Header.Get(headerRun); response.StatusCode != tt.wantStatus || run != string(tt.wantRun) || !response.Close {
+				t.Errorf("status %d, run %q, closes %v", response.StatusCode, run, response.Close)
+			}
+		})
+	}
+}
+
+// None of a stopping daemon's messages reached the peer, which took calls until they were cut
+// with the relay.
+func TestPeerTakesNoCallsFromRelayThatIsSilentForAnAnnouncement(t *testing.T) {
+	const announcement = 2 * time.Second
+	for _, tt := range []struct {
+		name       string
+		lost       int
+		wantStatus int
+		wantRun    outcome.RunState
+	}{
+		{"stops, all messages lost", math.MaxInt, http.StatusServiceUnavailable, outcome.NotRun},
+		{"doesn't stop, a message lost", 1, http.StatusOK, outcome.Ran},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			late, idle := startHandoverDaemon(t, answerWith("late")), startHandoverDaemon(t, executorFunc(
+				func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) outcome.Result {
+					if string(call.Body) == "long" {
+						time.Sleep(announcement)
+					}
+					return answerWith("idle")(ctx, call, sink)
+				}))
+			idle.offerTo(late)
+			late.makeLate()
+			late.transport.lose(tt.lost)
+			kept, inProgress := late.dial(t), late.dial(t)
+			for _, conn := range []*keptConnection{kept, inProgress} {
+				if response := conn.exchange(); response.StatusCode != http.StatusOK || response.Close {
+					t.Fatalf("status %d, closes %v", response.StatusCode, response.Close)
+				}
+			}
+			if tt.lost == math.MaxInt {
+				late.AnnounceStop(time.Time{})
+			}
+			// This one is in progress for the announcement.
+			if response := inProgress.exchangeBody("long"); response.StatusCode != http.StatusOK || !response.Close {
+				t.Errorf("in progress: status %d, closes %v", response.StatusCode, response.Close)
+			}
+			response := kept.exchange()
+			if run := response.Header.Get(headerRun); response.StatusCode != tt.wantStatus || run != string(tt.wantRun) || !response.Close {
+				t.Errorf("status %d, run %q, closes %v", response.StatusCode, run, response.Close)
+			}
+		})
+	}
+}
+
+// waitForCut waits until a connection that the daemon took over is known to be cut off within
+// the time.
+func (d *handoverDaemon) waitForCut(t *testing.T, within time.Duration) {
+	t.Helper()
+	conns := d.handover.takenOverConns
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		conns.mu.Lock()
+		for _, conn := range conns.conns {
+			if cutAt, ok := conn.cutAt.get(); ok && time.Until(cutAt) < within {
+				conns.mu.Unlock()
+				return
+			}
+		}
+		conns.mu.Unlock()
+	}
+	t.Fatal("no connection is known to be cut off")
+}
+
+// waitForRelay waits until the daemon relays a connection.
+func (d *handoverDaemon) waitForRelay(t *testing.T) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); len(d.handover.relaysByPeer.addresses()) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no connection is relayed")
+		}
+	}
+}
+
 // A peer was being asked for a connection when the stop began.
 func TestStoppingDaemonHandsNoMoreConnectionsOver(t *testing.T) {
 	late, idle := startHandoverDaemon(t, answerWith("late")), startHandoverDaemon(t, answerWith("idle"))
@@ -167,7 +293,7 @@
 	conns.add(first)
 	conns.add(second)
 	conns.connState(first, http.StateClosed)
-	if news := conns.recordStop([]string{address}, overload.RelayRefusing); news != 1 {
+	if news := conns.recordStop([]string{address}, overload.RelayRefusing, time.Time{}); news != 1 {
 		t.Errorf("the stop is news for %d connections, want 1", news)
 	}
 	conns.connState(second, http.StateClosed)
@@ -223,16 +349,19 @@
 
 // A daemon with room for a million connections stops while nearly all new ones are handed
 // over to one peer. The transport drops messages above its limit.
-func TestStopOfManyRelaysFitsIntoMessages(t *testing.T) {
+func TestReportOfManyRelaysFitsIntoMessages(t *testing.T) {
 	const relays = 200_000
-	var told int
-	var largest int
+	var mu sync.Mutex
+	var told, vouched, largest int
 	linked := &linkedTransport{}
-	linked.Handle(ports.KindRelayStop, nil, func(_ ports.DaemonID, message ports.Message) {
-		connections := message.(*ports.RelayStop).Connections
-		told += len(connections)
-		size := 0
-		for _, address := range connections {
+	linked.Handle(ports.KindRelayReport, nil, func(_ ports.DaemonID, message ports.Message) {
+		mu.Lock()
+		defer mu.Unlock()
+		report := message.(*ports.RelayReport)
+		told += len(report.Connections)
+		vouched += len(report.OpenPorts)
+		size := len(report.OpenHost) + 3*len(report.OpenPorts)
+		for _, address := range report.Connections {
 			size += len(address)
 		}
 		largest = max(largest, size)
@@ -243,8 +372,11 @@
 		late.handover.relaysByPeer.add("peer", &sameAddresses{number: i})
 	}
 	late.handover.sendStop()
-	if told != relays || largest > 1<<16 {
-		t.Errorf("told of %d relays, in messages of up to %d B", told, largest)
+	late.handover.vouch(time.Now().Add(time.Minute))
+	mu.Lock()
+	defer mu.Unlock()
+	if told != relays || vouched < relays || largest > 1<<16 {
+		t.Errorf("told of %d relays and vouched for %d, in messages of up to %d B", told, vouched, largest)
 	}
 }
 
--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -71,10 +71,10 @@
 // connection to it, refuses further calls, and nil before. Such a call arrives over a
 // connection that the stop has not closed yet.
 func (s *Server) stoppingRefusal(ctx context.Context) *outcome.Refusal {
-	if !s.refusingCalls.Load() && !isRelayRefusingCalls(ctx) {
-		return nil
+	if s.refusingCalls.Load() {
+		return newStoppingRefusal("the daemon is stopping")
 	}
-	return newStoppingRefusal("the daemon is stopping")
+	return s.relayRefusal(ctx)
 }
 
 func newStoppingRefusal(detail string) *outcome.Refusal {
@@ -128,7 +128,6 @@
 		return
 	}
 	go func() {
-		defer s.watchingCuts.Store(false)
 		ticker := time.NewTicker(cutCheckInterval)
 		defer ticker.Stop()
 		for s.hasCut() {
@@ -141,6 +140,11 @@
 			case <-ticker.C:
 			}
 		}
+		s.watchingCuts.Store(false)
+		// A cut may have become known since the last look.
+		if s.hasCut() {
+			s.watchCuts()
+		}
 	}()
 }
 
