--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -79,6 +79,7 @@
 		s.setConnectionHeader(w.Header(), r)
 		call, refusal := s.admit(w, r, in, parse)
 		if refusal != nil {
+			s.updateConnectionHeader(w.Header(), r)
 			s.writeRefusal(w, in, refusal)
 			return
 		}
--- a/internal/adapters/callerhttp/opencalls.go
+++ b/internal/adapters/callerhttp/opencalls.go
@@ -107,14 +107,20 @@
 	return &estimate
 }
 
-// list returns the calls in progress, sorted by request ID.
-func (o *openCalls) list() []*openCall {
+// unsorted returns the calls in progress.
+func (o *openCalls) unsorted() []*openCall {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	calls := make([]*openCall, 0, len(o.calls))
 	for call := range o.calls {
 		calls = append(calls, call)
 	}
+	return calls
+}
+
+// list returns the calls in progress, sorted by request ID.
+func (o *openCalls) list() []*openCall {
+	calls := o.unsorted()
 	slices.SortFunc(calls, func(a, b *openCall) int {
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
--- a/internal/adapters/callerhttp/relayreport.go
+++ b/internal/adapters/callerhttp/relayreport.go
@@ -156,8 +156,8 @@
 	since   time.Time
 }
 
-// relayEnd is an address of this daemon toward a peer.
-type relayEnd struct {
+// relaySource is an address of this daemon toward a peer.
+type relaySource struct {
 	peer ports.DaemonID
 	host string
 }
@@ -200,15 +200,15 @@
 
 // vouchedPorts returns the ports of the relayed connections that are reported while this
 // daemon doesn't stop.
-func (r *openRelays) vouchedPorts(now time.Time) map[relayEnd][]uint16 {
+func (r *openRelays) vouchedPorts(now time.Time) map[relaySource][]uint16 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	byEnd := make(map[relayEnd][]uint16)
+	byEnd := make(map[relaySource][]uint16)
 	for peer, conns := range r.byPeer {
 		for _, relay := range conns {
 			if overload.ShouldVouch(now.Sub(relay.since)) {
 				address := relay.address.AddrPort()
-				end := relayEnd{peer: peer, host: address.Addr().Unmap().String()}
+				end := relaySource{peer: peer, host: address.Addr().Unmap().String()}
 				byEnd[end] = append(byEnd[end], address.Port())
 			}
 		}
--- a/internal/adapters/callerhttp/sink.go
+++ b/internal/adapters/callerhttp/sink.go
@@ -29,8 +29,8 @@
 	setHeader func(http.Header)
 	conn      net.Conn
 	held      *heldMemory
-	// begunAt is when the answer began, in nanoseconds since the Unix epoch; zero before.
-	begunAt atomic.Int64
+	// begunAt is when the answer began; nil before.
+	begunAt atomic.Pointer[time.Time]
 	// deadlineSetAt is when the write deadline was last set.
 	deadlineSetAt time.Time
 }
@@ -41,7 +41,8 @@
 
 // Begin implements ports.AnswerSink.
 func (s *answerSink) Begin(status int, header ports.Header) error {
-	s.begunAt.Store(time.Now().UnixNano())
+	now := time.Now()
+	s.begunAt.Store(&now)
 	target := s.writer.Header()
 	for name, values := range header {
 		target[name] = values
@@ -77,13 +78,15 @@
 
 // Begun implements ports.AnswerSink.
 func (s *answerSink) Begun() bool {
-	return s.begunAt.Load() > 0
+	return s.begunAt.Load() != nil
 }
 
 // begunTime returns when the answer began, and false before.
 func (s *answerSink) begunTime() (time.Time, bool) {
-	begunAt := s.begunAt.Load()
-	return time.Unix(0, begunAt), begunAt > 0
+	if begunAt := s.begunAt.Load(); begunAt != nil {
+		return *begunAt, true
+	}
+	return time.Time{}, false
 }
 
 // CallerGone implements ports.AnswerSink.
--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -21,8 +21,7 @@
 
 // cutTime is when connections are cut off, or unset. It is safe for concurrent use.
 type cutTime struct {
-	// nanos is the time since the Unix epoch; zero if unset.
-	nanos atomic.Int64
+	at atomic.Pointer[time.Time]
 }
 
 // advance sets the time if it is earlier than the one that is set; zero changes nothing.
@@ -31,8 +30,8 @@
 		return
 	}
 	for {
-		known := c.nanos.Load()
-		if known != 0 && known <= at.UnixNano() || c.nanos.CompareAndSwap(known, at.UnixNano()) {
+		known := c.at.Load()
+		if known != nil && !at.Before(*known) || c.at.CompareAndSwap(known, &at) {
 			return
 		}
 	}
@@ -40,8 +39,10 @@
 
 // get returns the time, and false if it is unset.
 func (c *cutTime) get() (time.Time, bool) {
-	nanos := c.nanos.Load()
-	return time.Unix(0, nanos), nanos != 0
+	if at := c.at.Load(); at != nil {
+		return *at, true
+	}
+	return time.Time{}, false
 }
 
 // cutAtOf returns when the connection of a request will be cut off by the stop of this daemon
@@ -131,7 +132,7 @@
 		ticker := time.NewTicker(cutCheckInterval)
 		defer ticker.Stop()
 		for s.hasCut() {
-			for _, call := range s.openCalls.list() {
+			for _, call := range s.openCalls.unsorted() {
 				s.giveUpBeforeCut(call)
 			}
 			select {
@@ -182,12 +183,12 @@
 // that says whether they ran, or after cutAnswerMargin.
 func (s *Server) cutCalls() {
 	s.logCutCalls()
-	for _, call := range s.openCalls.list() {
+	for _, call := range s.openCalls.unsorted() {
 		call.refuse(newCutRefusal())
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cutAnswerMargin)
 	defer cancel()
-	for len(s.openCalls.list()) > 0 && pause.For(ctx, drainCheckInterval) {
+	for len(s.openCalls.unsorted()) > 0 && pause.For(ctx, drainCheckInterval) {
 	}
 }
 
--- a/internal/ports/sendgate.go
+++ b/internal/ports/sendgate.go
@@ -5,13 +5,16 @@
 	"time"
 )
 
-// Values of a SendGate's state; others are when the call was sent, in nanoseconds since the
-// Unix epoch.
+// Values of a SendGate's state; others are when the call was sent, in nanoseconds since
+// processStart.
 const (
 	gateWaiting = 0
 	gateClosed  = -1
 )
 
+// processStart has a reading of the monotonic clock, which steps of the time of day don't change.
+var processStart = time.Now().Add(-1)
+
 // SendGate settles whether a call is sent to a backend server or given up unsent, when both
 // are about to happen. It is safe for concurrent use. The zero value is open; nil stays open.
 type SendGate struct {
@@ -23,7 +26,7 @@
 // Send records that a try of the call is about to be sent. It returns false if the gate is
 // closed: the call must then not be sent, and the context of its execution ends soon.
 func (g *SendGate) Send(now time.Time) bool {
-	return g == nil || !g.closing.Load() && g.state.CompareAndSwap(gateWaiting, now.UnixNano())
+	return g == nil || !g.closing.Load() && g.state.CompareAndSwap(gateWaiting, int64(now.Sub(processStart)))
 }
 
 // Wait records that the last try has ended and the call waits for another one.
@@ -50,5 +53,5 @@
 // SentAt returns when the call was sent, and false while it waits.
 func (g *SendGate) SentAt() (time.Time, bool) {
 	sent := g.state.Load()
-	return time.Unix(0, sent), sent > 0
+	return processStart.Add(time.Duration(sent)), sent > 0
 }
