--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -117,7 +117,7 @@
 		Str("class", string(call.Class)).Bool("repeatable", outlook.Repeatable).
 		Dur("untilCut", outlook.UntilCut).Dur("untilDeadline", outlook.UntilDeadline)
 	if estimate := outlook.Estimate; estimate != nil {
-		line = line.Dur("wait", estimate.Wait).Dur("p90", estimate.P90).Dur("longest", estimate.Longest)
+		line = line.Dur("wait", estimate.Wait).Dur("longest", estimate.Longest)
 	}
 	line.Msg("")
 }
--- a/internal/core/gracefulstop/lengths.go
+++ b/internal/core/gracefulstop/lengths.go
@@ -32,9 +32,8 @@
 type Estimate struct {
 	// Wait is the median time until the request is sent.
 	Wait time.Duration
-	// P90 and Longest are times from there to the end of the answer: that which nine of ten
-	// calls don't exceed, and the longest.
-	P90, Longest time.Duration
+	// Longest is the longest time from there to the end of the answer.
+	Longest time.Duration
 }
 
 // IncludeRunning raises the longest time by that of a call of the same kind, with an answer of
@@ -116,26 +115,19 @@
 		return Estimate{}, false
 	}
 	units = max(units, 1)
-	var waits, runs []time.Duration
+	var waits []time.Duration
 	var longestFirst, longestRest time.Duration
 	for _, recorded := range known.ring {
 		if now.Sub(recorded.at) > lengthLifetime {
 			continue
 		}
-		rest := recorded.restOf(units)
 		waits = append(waits, recorded.Waited)
-		runs = append(runs, recorded.FirstByte+rest)
 		longestFirst = max(longestFirst, recorded.FirstByte)
-		longestRest = max(longestRest, rest)
+		longestRest = max(longestRest, recorded.restOf(units))
 	}
-	if len(runs) < minLengths {
+	if len(waits) < minLengths {
 		return Estimate{}, false
 	}
-	return Estimate{Wait: quantile(waits, 0.5), P90: quantile(runs, 0.9), Longest: longestFirst + longestRest}, true
-}
-
-// quantile returns the q-quantile of the durations, which it sorts.
-func quantile(durations []time.Duration, q float64) time.Duration {
-	slices.Sort(durations)
-	return durations[min(int(q*float64(len(durations))), len(durations)-1)]
+	slices.Sort(waits)
+	return Estimate{Wait: waits[len(waits)/2], Longest: longestFirst + longestRest}, true
 }
--- a/internal/core/gracefulstop/taking.go
+++ b/internal/core/gracefulstop/taking.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// growth is how much longer than the longest of the latest calls one may take: calls get slower
-// while the stopping daemons' load moves to others.
+// growth is how much longer than the longest of the latest calls one may take that must not be
+// cut: calls get slower while the load of stopping daemons moves to others.
 const growth = 1.25
 
 // Outlook is what is known of a call on a connection that will be cut.
@@ -50,7 +50,7 @@
 // runTime is the time that is left for a run.
 func (o Outlook) runTime() time.Duration {
 	if o.Repeatable {
-		return o.Estimate.P90
+		return o.Estimate.Longest
 	}
 	return time.Duration(growth * float64(o.Estimate.Longest))
 }
--- a/internal/core/gracefulstop/taking_test.go
+++ b/internal/core/gracefulstop/taking_test.go
@@ -9,9 +9,9 @@
 // than the rest of the stop.
 func TestCallsThatOutlastTheStopAreNotTaken(t *testing.T) {
 	const left, deadline = 5 * time.Second, 15 * time.Second
-	short := &Estimate{Wait: time.Second, P90: 2 * time.Second, Longest: 3 * time.Second}
-	varying := &Estimate{Wait: time.Second, P90: 4 * time.Second, Longest: 4500 * time.Millisecond}
-	queued := &Estimate{Wait: 3 * time.Second, P90: 2 * time.Second, Longest: 3 * time.Second}
+	short := &Estimate{Wait: time.Second, Longest: 3 * time.Second}
+	varying := &Estimate{Wait: time.Second / 2, Longest: 4500 * time.Millisecond}
+	queued := &Estimate{Wait: 3 * time.Second, Longest: 3 * time.Second}
 	for _, tt := range []struct {
 		name               string
 		outlook            Outlook
@@ -54,10 +54,10 @@
 	}
 	expect(0, "draft", 100, Estimate{}, false)
 	record(0, "draft", 500, calm)
-	expect(0, "draft", 1000, Estimate{Wait: calm, P90: 1010 * calm, Longest: 1010 * calm}, true)
+	expect(0, "draft", 1000, Estimate{Wait: calm, Longest: 1010 * calm}, true)
 	expect(0, "question", 1000, Estimate{}, false)
 	record(time.Second, "draft", 5, flooded)
-	expect(time.Second, "draft", 1000, Estimate{Wait: calm, P90: 1010 * flooded, Longest: 1010 * flooded}, true)
+	expect(time.Second, "draft", 1000, Estimate{Wait: calm, Longest: 1010 * flooded}, true)
 	running, _ := lengths.Estimate(start.Add(time.Second), "draft", 1000)
 	running.IncludeRunning(1000, 8*time.Second, 2000)
 	if running.Longest != 1010*flooded {
@@ -70,7 +70,7 @@
 	for range maxLengths {
 		record(2*time.Second, "draft", 0, flooded)
 	}
-	want := Estimate{Wait: flooded, P90: 10 * flooded, Longest: 10 * flooded}
+	want := Estimate{Wait: flooded, Longest: 10 * flooded}
 	expect(2*time.Second+lengthLifetime, "draft", 1000, want, true)
 	expect(3*time.Second+lengthLifetime, "draft", 1000, Estimate{}, false)
 }
