A relay answers a request whose serving daemon has ended

What callers saw: a connection that their daemon relays was closed or reset without a byte, after the request had been passed on to a backend server by the peer that serves the connection. The daemon itself was healthy; the peer had been killed, cut off, or had its connections reset.

Cause: a relay knows nothing of requests, so it could only pass the end on.

Change: the relay remembers whose turn it is: the caller's bytes were passed on and nothing has come back. If the peer's connection is reset or vanishes then, or ends and the peer accepts no more connections, the caller gets the dialect's refusal, "may have run" (502), and the end of the connection. An idle connection's end that crosses a request, the end of a peer that goes on (it may have answered before it has read all) and a begun answer are passed on as before. Connections with TLS can't be answered here.

New: callers_relayed_requests_lost by end, log event relayed-request-lost.

TestRequestIsAnsweredWhenItsPeerEnds, with the answer taken out: "ended" and "reset" fail, 'the caller got "", want "HTTP/1.1 502 "'; "goes on", "closed as idle" and "answer begun" pass with and without it.

--- a/internal/adapters/callerhttp/handover.go
+++ b/internal/adapters/callerhttp/handover.go
@@ -90,6 +90,9 @@
 	takenOver    tally.Counter
 	// relayStops counts the connections taken over whose relaying daemon stops.
 	relayStops *metrics.CounterVec
+	// unanswered counts the relayed requests whose connection the peer ended before a byte
+	// of the answer.
+	unanswered *metrics.CounterVec
 	logLimiter *logging.Limiter
 	logger     *log.Logger
 }
@@ -109,6 +112,7 @@
 		refused:    metrics.NewCounterVec(scope, "take_overs_refused", "reason"),
 		takenOver:  scope.Counter("connections_taken_over"),
 		relayStops: metrics.NewCounterVec(scope, "taken_over_connections_stopping", "relay"),
+		unanswered: metrics.NewCounterVec(scope, "relayed_requests_lost", "end"),
 		logLimiter: server.logLimiter, logger: server.logger,
 		takenOverConns: newTakenOverConns(), relaysByPeer: newOpenRelays(),
 		stopped: make(chan struct{}), callsRefused: make(chan struct{}, 1),
@@ -230,7 +234,9 @@
 		closeWithReset(caller)
 	default:
 		defer h.relaysByPeer.add(peer.daemon, conn)()
-		relay := relay{caller: caller, peer: conn, gather: h.shouldGather}
+		relay := relay{caller: caller, peer: conn, gather: h.shouldGather, refusal: func(turn *relayTurn, readErr error) []byte {
+			return h.refusalOfLostRequest(peer, turn, readErr)
+		}}
 		relay.run()
 	}
 }
--- a/internal/adapters/callerhttp/relay.go
+++ b/internal/adapters/callerhttp/relay.go
@@ -38,18 +38,24 @@
 )
 
 // relay copies bytes between a caller and the daemon that serves it, without parsing
-// them. An orderly end of the daemon's side is passed on as one, its reset as a reset. The
-// end of the caller's side cancels its calls at the daemon, as it would here.
+// them. An orderly end of the daemon's side is passed on as one, its reset as a reset, or after
+// a refusal if a request waits for its answer. The end of the caller's side cancels its calls
+// at the daemon, as it would here.
 type relay struct {
 	caller, peer *net.TCPConn
 	// gather reports whether bytes toward the caller should be passed on together.
 	gather func() bool
+	// refusal returns what to send to the caller when the daemon has ended the connection;
+	// nil for nothing.
+	refusal func(turn *relayTurn, readErr error) []byte
+	turn    relayTurn
 	// deadlineSetAt is when the caller's write deadline was last set.
 	deadlineSetAt time.Time
 }
 
 // run relays until both directions have ended, and closes both connections.
 func (r *relay) run() {
+	r.turn.recordAnswer(time.Now())
 	var requests sync.WaitGroup
 	requests.Go(r.relayRequests)
 	r.relayAnswers()
@@ -69,6 +75,7 @@
 			closeWithReset(r.peer)
 			return
 		}
+		r.turn.recordRequest(time.Now())
 		if _, err := r.peer.Write(buffer[:n]); err != nil {
 			// The daemon has closed or lost the connection; relayAnswers passes on what
 			// it has sent before.
@@ -85,6 +92,9 @@
 	_ = r.peer.SetReadDeadline(time.Now().Add(silentRelayPeriod))
 	for {
 		n, readErr := r.peer.Read(buffer[:])
+		if n > 0 {
+			r.turn.recordAnswer(time.Now())
+		}
 		if n > 0 && !r.writeToCaller(buffer[:n]) {
 			closeWithReset(r.peer)
 			closeWithReset(r.caller)
@@ -97,17 +107,24 @@
 			if r.gather() {
 				time.Sleep(gatherPeriod)
 			}
-		case errors.Is(readErr, io.EOF):
-			_ = r.caller.CloseWrite()
-			_ = r.caller.SetReadDeadline(time.Now().Add(relayLinger))
-			return
 		default:
-			closeWithReset(r.caller)
+			r.endAnswers(readErr)
 			return
 		}
 	}
 }
 
+// endAnswers ends the caller's connection after the daemon's has ended with readErr.
+func (r *relay) endAnswers(readErr error) {
+	refusal := r.refusal(&r.turn, readErr)
+	if refusal == nil && !errors.Is(readErr, io.EOF) || refusal != nil && !r.writeToCaller(refusal) {
+		closeWithReset(r.caller)
+		return
+	}
+	_ = r.caller.CloseWrite()
+	_ = r.caller.SetReadDeadline(time.Now().Add(relayLinger))
+}
+
 // detectVanishedEnds makes the kernel end connections whose other end has vanished.
 func (r *relay) detectVanishedEnds() {
 	// Errors mean that the connection is closed already, which Read and Write report.
--- /dev/null
+++ b/internal/adapters/callerhttp/relayloss_test.go
@@ -0,0 +1,110 @@
+package callerhttp
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"hawthornstream/internal/ports"
+)
+
+// startScriptedPeer starts a peer that takes over connections of the daemon. It answers the
+// first request of each and calls end when the second one has arrived.
+func startScriptedPeer(t *testing.T, d *handoverDaemon, end func(net.Listener, *net.TCPConn)) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Write([]byte{handoverAccepted})
+		reader := bufio.NewReader(conn)
+		for _, answer := range []func(){
+			func() { _, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") },
+			func() { end(listener, conn.(*net.TCPConn)) },
+		} {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			answer()
+		}
+	}()
+	offer := &ports.HandoverOffer{Domain: "d", Address: listener.Addr().String(), SpareMillicores: 500}
+	d.handover.table.SetPeerOffer("peer", offer)
+	d.makeLate()
+}
+
+// The peer that served a relayed connection was killed: its callers' requests were passed on
+// and their connections closed without an answer.
+func TestRequestIsAnsweredWhenItsPeerEnds(t *testing.T) {
+	finish := func(conn *net.TCPConn) { _ = conn.Close() }
+	for name, c := range map[string]struct {
+		end      func(net.Listener, *net.TCPConn)
+		idle     time.Duration
+		want     string
+		wantLost string
+	}{
+		"ended": {
+			end:  func(listener net.Listener, conn *net.TCPConn) { _ = listener.Close(); finish(conn) },
+			want: "HTTP/1.1 502 ", wantLost: relayEndGone,
+		},
+		"reset":   {end: func(_ net.Listener, conn *net.TCPConn) { closeWithReset(conn) }, want: "HTTP/1.1 502 ", wantLost: relayEndReset},
+		"goes on": {end: func(_ net.Listener, conn *net.TCPConn) { finish(conn) }, wantLost: relayEndClosed},
+		"closed as idle": {
+			end: func(listener net.Listener, conn *net.TCPConn) { _ = listener.Close(); finish(conn) }, idle: 600 * time.Millisecond,
+			wantLost: relayEndCrossed,
+		},
+		"answer begun": {
+			end: func(listener net.Listener, conn *net.TCPConn) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
+				_ = listener.Close()
+				finish(conn)
+			},
+			want: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			late := startHandoverDaemon(t, answerWith("late"))
+			startScriptedPeer(t, late, c.end)
+			caller := late.dial(t)
+			caller.exchange()
+			time.Sleep(c.idle)
+			if err := newRequest(t, http.MethodPost, "http://callers/services/registry/x", "body").Write(caller.conn); err != nil {
+				t.Fatal(err)
+			}
+			got, _ := io.ReadAll(caller.reader)
+			if c.want == "" && len(got) > 0 || !strings.HasPrefix(string(got), c.want) || c.wantLost == "" && string(got) != c.want {
+				t.Errorf("the caller got %q, want %q", got, c.want)
+			}
+			if strings.Contains(string(got), " 502 ") && !strings.Contains(string(got), "\r\nHawthornstream-Run: unknown\r\n") {
+				t.Errorf("the refusal %q doesn't say that the call may have run", got)
+			}
+			if lost := late.lostRequests(); lost != c.wantLost {
+				t.Errorf("counted as lost: %q, want %q", lost, c.wantLost)
+			}
+		})
+	}
+}
+
+// lostRequests returns the ends of the relayed requests that are counted as lost.
+func (d *handoverDaemon) lostRequests() string {
+	var ends []string
+	for _, counter := range d.scope.Snapshot().Counters() {
+		if counter.Name() == "callers.relayed_requests_lost" && counter.Value() > 0 {
+			ends = append(ends, counter.Tags()["end"])
+		}
+	}
+	return strings.Join(ends, " ")
+}
