A relay notices a vanished peer by a request that isn't acknowledged

What callers saw: no answer, and an open connection, for as long as they waited, when the host of the daemon that serves a relayed connection was cut off while the connection was idle and a request was sent after that.

The kernel sends no probes while sent bytes are unacknowledged; it retransmits them, by default for about a quarter of an hour.

Change: TCP_USER_TIMEOUT of 5 s on connections to peers, as connections to backend servers already have it; the code is shared in tcpstate. The caller then gets the refusal of a lost request, counted as "vanished".

TestRequestToVanishedPeerIsAnswered, a socket filter drops what the peer receives: before, 'the caller got "" (i/o timeout)' after 15 s; now the answer comes within 5.5 s.

--- a/internal/adapters/backendhttp/client.go
+++ b/internal/adapters/backendhttp/client.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"hawthornstream/internal/adapters/metrics"
+	"hawthornstream/internal/adapters/tcpstate"
 	"hawthornstream/internal/ports"
 )
 
@@ -88,7 +90,9 @@
 func NewClient(scope tally.Scope) *Client {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
-		Control: unacknowledgedTimeoutControl(unacknowledgedTimeout),
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return tcpstate.SetUnacknowledgedTimeout(raw, unacknowledgedTimeout)
+		},
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
 		},
--- a/internal/adapters/callerhttp/relay.go
+++ b/internal/adapters/callerhttp/relay.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"hawthornstream/internal/adapters/tcpstate"
 )
 
 const (
@@ -28,7 +30,11 @@
 // before, and need no system calls for it.
 const silentRelayPeriod = 3 * time.Second
 
-// relayKeepAlive detects ends that vanished.
+// relayUnacknowledgedTimeout is the longest time that a request may stay unacknowledged by the
+// kernel of the daemon that serves the connection.
+const relayUnacknowledgedTimeout = 5 * time.Second
+
+// relayKeepAlive detects ends that vanished while nothing is sent to them.
 var relayKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
 
 // Pools of a relay's buffers.
@@ -131,6 +137,9 @@
 	_ = r.peer.SetReadDeadline(time.Time{})
 	_ = r.peer.SetKeepAliveConfig(relayKeepAlive)
 	_ = r.caller.SetKeepAliveConfig(relayKeepAlive)
+	if raw, err := r.peer.SyscallConn(); err == nil {
+		_ = tcpstate.SetUnacknowledgedTimeout(raw, relayUnacknowledgedTimeout)
+	}
 }
 
 func (r *relay) writeToCaller(part []byte) bool {
--- a/internal/adapters/tcpstate/tcpstate.go
+++ b/internal/adapters/tcpstate/tcpstate.go
@@ -1,5 +1,5 @@
-// Package tcpstate asks the kernel for the state of a TCP connection. It may be
-// imported by the adapters.
+// Package tcpstate asks the kernel for the state of a TCP connection and sets how it finds
+// out that the other end is gone. It may be imported by the adapters.
 package tcpstate
 
 // State is what the kernel knows about the receiving side of a connection.
