A call that ends before the first byte of its answer gets a refusal

What callers saw: a kept connection that was closed without a byte, after the call had been sent and its answer had been begun inside the daemon.

Cause: AnswerSink.Begin wrote the head into the HTTP server's buffer, which is flushed by the first Write. If the run ended between them, as when a replacement takes its place there or on a fault, a status was fixed that nobody had seen, and all that was left was to close.

Change: the sink keeps the head until the first Write, which may be empty, or the end of the answer. A call that is refused before gets the refusal with its run state. Event streams of plain services still get their head early: it is sent by an empty Write. The first event of a stream is written as before, in one flush with the head.

New: callers_answers_cut by reason and whether a part of the body was sent; log event answer-cut with the bytes sent.

TestKeptConnectionGetsWholeAnswerOrRefusal, with the head written in Begin: "run that breaks after it began the answer: /second has no answer: unexpected EOF".

--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -166,16 +166,35 @@
 	result := s.executor.Execute(ctx, call, sink)
 	s.openCalls.remove(open, result)
 	if result.Refusal == nil {
+		sink.finish()
 		return
 	}
 	s.countRefusal(result.Refusal)
-	if sink.Begun() {
+	if sink.headSent {
+		s.recordCutAnswer(r, call, sink, result.Refusal)
 		abortAnswer(r)
 	}
 	s.updateConnectionHeader(w.Header(), r)
 	s.dialect.WriteRefusal(w, call.ID, result.Refusal)
 }
 
+// recordCutAnswer counts and logs an answer whose head was sent and that ends early.
+func (s *Server) recordCutAnswer(r *http.Request, call *ports.Call, sink *answerSink, refusal *outcome.Refusal) {
+	sent := "part"
+	if sink.bytesSent == 0 {
+		sent = "no-body"
+	}
+	s.answersCut.Inc(string(refusal.Reason), sent)
+	if !s.logLimiter.Allow("answer-cut", string(refusal.Reason)) {
+		return
+	}
+	_, takenOver := r.Context().Value(takenOverKey{}).(*takenOverConn)
+	s.logger.Info().Str("event", "answer-cut").Str("request", string(call.ID)).
+		Str("workspace", string(call.Workspace)).Str("service", string(call.Service)).
+		Str("reason", string(refusal.Reason)).Int64("bytesSent", sink.bytesSent).Bool("callerGone", sink.CallerGone()).
+		Bool("takenOver", takenOver).Dur("age", time.Since(call.Arrived)).Msg("")
+}
+
 // abortAnswer ends the connection without ending the body, so that the caller does not take a
 // truncated answer for a complete one.
 func abortAnswer(r *http.Request) {
--- /dev/null
+++ b/internal/adapters/callerhttp/noanswer_test.go
@@ -0,0 +1,67 @@
+package callerhttp
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"hawthornstream/internal/core/outcome"
+	"hawthornstream/internal/ports"
+)
+
+// Kept connections were closed without a byte after their call had run.
+func TestKeptConnectionGetsWholeAnswerOrRefusal(t *testing.T) {
+	broken := outcome.Result{End: outcome.Ran, Refusal: &outcome.Refusal{Reason: outcome.ReasonConnectionBroken, End: outcome.Ran}}
+	ran := outcome.Result{End: outcome.Ran}
+	for name, c := range map[string]struct {
+		execute executorFunc
+		status  int
+		body    string
+	}{
+		"run that breaks after it began the answer": {func(_ context.Context, _ *ports.Call, sink ports.AnswerSink) outcome.Result {
+			_ = sink.Begin(http.StatusOK, ports.Header{"Content-Length": {"9"}, "X-Server": {"b1"}})
+			return broken
+		}, http.StatusBadGateway, `"run":"ran"`},
+		"answer without a body": {func(_ context.Context, _ *ports.Call, sink ports.AnswerSink) outcome.Result {
+			_ = sink.Begin(http.StatusNoContent, nil)
+			return ran
+		}, http.StatusNoContent, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			listener, _, _ := newTestServer(t, executorFunc(func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) outcome.Result {
+				if call.Path == "/first" {
+					return echoPath(ctx, call, sink)
+				}
+				return c.execute(ctx, call, sink)
+			}))
+			conn, err := net.Dial("tcp", listener.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			var response *http.Response
+			var body []byte
+			for _, path := range []string{"/first", "/second"} {
+				request := newRequest(t, http.MethodPost, listener.URL+"/services/registry"+path, "")
+				if err := request.Write(conn); err != nil {
+					t.Fatal(err)
+				}
+				if response, err = http.ReadResponse(reader, request); err != nil {
+					t.Fatalf("%s has no answer: %v", path, err)
+				}
+				if body, err = io.ReadAll(response.Body); err != nil {
+					t.Fatalf("the answer to %s is cut after %q: %v", path, body, err)
+				}
+			}
+			if response.StatusCode != c.status || !strings.Contains(string(body), c.body) || response.Header.Get("X-Server") != "" {
+				t.Errorf("got %d %v %q, want %d %q", response.StatusCode, response.Header, body, c.status, c.body)
+			}
+		})
+	}
+}
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -73,6 +73,8 @@
 	cutAt        cutTime
 	watchingCuts atomic.Bool
 	callsCut     *metrics.CounterVec
+	// answersCut counts the answers that ended early.
+	answersCut *metrics.CounterVec
 	// stopped is closed when Stop has returned.
 	stopped    chan struct{}
 	stopOnce   sync.Once
@@ -114,6 +116,7 @@
 		scope:           scope,
 		openCalls:       newOpenCalls(),
 		callsCut:        metrics.NewCounterVec(scope, "calls_cut", "taken", "state"),
+		answersCut:      metrics.NewCounterVec(scope, "answers_cut", "reason", "sent"),
 		stopped:         make(chan struct{}),
 		shedder:         newLoadShedder(s.Limits.MaxProcessorWait.Value(), scope, logger),
 		memory:          held,
--- a/internal/adapters/callerhttp/sink.go
+++ b/internal/adapters/callerhttp/sink.go
@@ -21,7 +21,8 @@
 	writeDeadlineInterval = 2 * time.Second
 )
 
-// answerSink relays an answer to the caller and flushes each part.
+// answerSink relays an answer to the caller and flushes each part. It sends the head with the
+// first part, so that a call that ends before gets another answer.
 type answerSink struct {
 	writer     http.ResponseWriter
 	controller *http.ResponseController
@@ -31,6 +32,12 @@
 	held      *heldMemory
 	// begunAt is when the answer began, in nanoseconds since the Unix epoch; zero before.
 	begunAt atomic.Int64
+	// status and header are those of Begin. headSent is true once they were sent.
+	status   int
+	header   ports.Header
+	headSent bool
+	// bytesSent is the number of bytes of the body that were sent.
+	bytesSent int64
 	// deadlineSetAt is when the write deadline was last set.
 	deadlineSetAt time.Time
 }
@@ -42,12 +49,7 @@
 // Begin implements ports.AnswerSink.
 func (s *answerSink) Begin(status int, header ports.Header) error {
 	s.begunAt.Store(time.Now().UnixNano())
-	target := s.writer.Header()
-	for name, values := range header {
-		target[name] = values
-	}
-	s.setHeader(target)
-	s.writer.WriteHeader(status)
+	s.status, s.header = status, header
 	return nil
 }
 
@@ -59,10 +61,36 @@
 		}
 		s.deadlineSetAt = now
 	}
+	s.sendHead()
 	if _, err := s.writer.Write(part); err != nil {
 		return eris.Wrap(err, "write to the caller")
 	}
-	return s.flush()
+	if err := s.flush(); err != nil {
+		return err
+	}
+	s.bytesSent += int64(len(part))
+	return nil
+}
+
+// finish ends an answer whose last part was written.
+func (s *answerSink) finish() {
+	if s.Begun() {
+		s.sendHead()
+	}
+}
+
+// sendHead sends the status and header, unless they were sent.
+func (s *answerSink) sendHead() {
+	if s.headSent {
+		return
+	}
+	s.headSent = true
+	target := s.writer.Header()
+	for name, values := range s.header {
+		target[name] = values
+	}
+	s.setHeader(target)
+	s.writer.WriteHeader(s.status)
 }
 
 // Reserve implements ports.AnswerSink.
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -152,9 +152,10 @@
 // AnswerSink writes the answer of one call to the caller. It is not safe for
 // concurrent use.
 type AnswerSink interface {
-	// Begin sends the status and header. It is called at most once, before Write.
+	// Begin sets the status and header, which are sent with the first part of the body. It is
+	// called at most once, before Write.
 	Begin(status int, header Header) error
-	// Write sends a part of the body to the caller without buffering.
+	// Write sends a part of the body, which may be empty, to the caller without buffering.
 	Write(part []byte) error
 	// Reserve reports whether there is memory to hold that many more bytes of the answer
 	// before they are written. They are held until Unreserve or the call's end. It is safe
@@ -173,9 +174,9 @@
 type Executor interface {
 	// Execute runs the call to its end and returns the result. If the cause of the
 	// context's end is an *outcome.Refusal, that is why the call is refused. If the result
-	// carries a refusal and the sink has not begun, the caller of Execute sends
-	// the refusal as the answer; if the sink has begun, it must truncate the
-	// answer in a way that is visible to the caller.
+	// carries a refusal and nothing was sent to the caller, the caller of Execute sends
+	// the refusal as the answer; otherwise it must truncate the answer in a way that is
+	// visible to the caller.
 	Execute(ctx context.Context, call *Call, sink AnswerSink) outcome.Result
 }
 
