A fault of the daemon during a call leaves its caller with an answer

What callers saw (by a test; no such fault is known): a connection that was closed without a byte, after a panic outside of a run, such as in the broker or the retry loop.

Cause: the HTTP server recovers the panic and closes the connection.

Change: the handler recovers it around the executor and refuses the call as "internal", run state unknown (500; 502 by the dialect of platform), like a panic of a run. A begun answer is cut. New: callers_call_panics, log event call-panicked.

TestKeptConnectionGetsWholeAnswerOrRefusal, without the recovery: "panic after the run: /second has no answer: unexpected EOF".

--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -163,7 +164,7 @@
 	_, isInStop := s.cutAtOf(r.Context())
 	open := &openCall{Call: call, sink: sink, ctx: ctx, refuse: refuse, takenInStop: isInStop}
 	s.openCalls.add(open)
-	result := s.executor.Execute(ctx, call, sink)
+	result := s.executeContained(ctx, call, sink)
 	s.openCalls.remove(open, result)
 	if result.Refusal == nil {
 		sink.finish()
@@ -178,6 +179,26 @@
 	s.dialect.WriteRefusal(w, call.ID, result.Refusal)
 }
 
+// executeContained passes the call to the executor. A panic ends the call as failed, so that its
+// caller gets an answer.
+func (s *Server) executeContained(ctx context.Context, call *ports.Call, sink *answerSink) (result outcome.Result) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		s.callPanics.Inc(1)
+		if s.logLimiter.Allow("call-panicked", "") {
+			s.logger.Error().Str("event", "call-panicked").Str("request", string(call.ID)).
+				Str("service", string(call.Service)).Str("cause", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).Msg("")
+		}
+		result = outcome.Result{End: outcome.Unknown, Refusal: &outcome.Refusal{
+			Reason: outcome.ReasonInternal, End: outcome.Unknown, Detail: "a fault of the daemon ended the call",
+		}}
+	}()
+	return s.executor.Execute(ctx, call, sink)
+}
+
 // recordCutAnswer counts and logs an answer whose head was sent and that ends early.
 func (s *Server) recordCutAnswer(r *http.Request, call *ports.Call, sink *answerSink, refusal *outcome.Refusal) {
 	sent := "part"
--- a/internal/adapters/callerhttp/noanswer_test.go
+++ b/internal/adapters/callerhttp/noanswer_test.go
@@ -26,6 +26,9 @@
 			_ = sink.Begin(http.StatusOK, ports.Header{"Content-Length": {"9"}, "X-Server": {"b1"}})
 			return broken
 		}, http.StatusBadGateway, `"run":"ran"`},
+		"panic after the run": {func(context.Context, *ports.Call, ports.AnswerSink) outcome.Result {
+			panic("test")
+		}, http.StatusInternalServerError, `"run":"unknown"`},
 		"answer without a body": {func(_ context.Context, _ *ports.Call, sink ports.AnswerSink) outcome.Result {
 			_ = sink.Begin(http.StatusNoContent, nil)
 			return ran
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -73,8 +73,10 @@
 	cutAt        cutTime
 	watchingCuts atomic.Bool
 	callsCut     *metrics.CounterVec
-	// answersCut counts the answers that ended early.
+	// answersCut counts the answers that ended early, and callPanics the calls that a fault
+	// of the program ended.
 	answersCut *metrics.CounterVec
+	callPanics tally.Counter
 	// stopped is closed when Stop has returned.
 	stopped    chan struct{}
 	stopOnce   sync.Once
@@ -117,6 +119,7 @@
 		openCalls:       newOpenCalls(),
 		callsCut:        metrics.NewCounterVec(scope, "calls_cut", "taken", "state"),
 		answersCut:      metrics.NewCounterVec(scope, "answers_cut", "reason", "sent"),
+		callPanics:      scope.Counter("call_panics"),
 		stopped:         make(chan struct{}),
 		shedder:         newLoadShedder(s.Limits.MaxProcessorWait.Value(), scope, logger),
 		memory:          held,
