The end of an answer gets the time limit of a part of its own

What callers saw: a whole stream without its end, and a closed connection, where the server pauses for longer than 28 s between the last event and the end.

Cause: the write deadline is set with each part, 30 s ahead, but not for the end that the HTTP server sends when the handler has returned.

Change: the sink extends the deadline when the answer ends.

TestKeptConnectionGetsWholeAnswerOrRefusal, with a limit of 2.1 s, without the extension: 'pause before the end of a stream: the answer to /second is cut after "event": unexpected EOF'. "refusal after the write limit of the answer before" passes with and without it.

--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -157,7 +157,7 @@
 	call.DemandWeight = s.shedder.demandWeight()
 	ctx, refuse := context.WithCancelCause(r.Context())
 	defer refuse(nil)
-	sink := newAnswerSink(w, connFromContext(r.Context()), held, func(header http.Header) {
+	sink := newAnswerSink(w, connFromContext(r.Context()), held, s.writeTimeout, func(header http.Header) {
 		s.dialect.SetAnswerHeader(header, call.ID)
 		s.updateConnectionHeader(header, r)
 	})
--- a/internal/adapters/callerhttp/noanswer_test.go
+++ b/internal/adapters/callerhttp/noanswer_test.go
@@ -8,13 +8,16 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/ports"
 )
 
-// Kept connections were closed without a byte after their call had run.
+// Kept connections were closed without a byte after their call had run, or without the end of
+// an answer that was whole.
 func TestKeptConnectionGetsWholeAnswerOrRefusal(t *testing.T) {
+	const limit = writeDeadlineInterval + 100*time.Millisecond
 	broken := outcome.Result{End: outcome.Ran, Refusal: &outcome.Refusal{Reason: outcome.ReasonConnectionBroken, End: outcome.Ran}}
 	ran := outcome.Result{End: outcome.Ran}
 	for name, c := range map[string]struct {
@@ -29,6 +32,16 @@
 		"panic after the run": {func(context.Context, *ports.Call, ports.AnswerSink) outcome.Result {
 			panic("test")
 		}, http.StatusInternalServerError, `"run":"unknown"`},
+		"pause before the end of a stream": {func(_ context.Context, _ *ports.Call, sink ports.AnswerSink) outcome.Result {
+			_ = sink.Begin(http.StatusOK, nil)
+			_ = sink.Write([]byte("event"))
+			time.Sleep(limit + 200*time.Millisecond)
+			return ran
+		}, http.StatusOK, "event"},
+		"refusal after the write limit of the answer before": {func(context.Context, *ports.Call, ports.AnswerSink) outcome.Result {
+			time.Sleep(limit + 200*time.Millisecond)
+			return broken
+		}, http.StatusBadGateway, `"run":"ran"`},
 		"answer without a body": {func(_ context.Context, _ *ports.Call, sink ports.AnswerSink) outcome.Result {
 			_ = sink.Begin(http.StatusNoContent, nil)
 			return ran
@@ -36,12 +49,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			listener, _, _ := newTestServer(t, executorFunc(func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) outcome.Result {
+			listener, server, _ := newTestServer(t, executorFunc(func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) outcome.Result {
 				if call.Path == "/first" {
 					return echoPath(ctx, call, sink)
 				}
 				return c.execute(ctx, call, sink)
 			}))
+			server.writeTimeout = limit
 			conn, err := net.Dial("tcp", listener.Listener.Addr().String())
 			if err != nil {
 				t.Fatal(err)
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -77,6 +77,8 @@
 	// of the program ended.
 	answersCut *metrics.CounterVec
 	callPanics tally.Counter
+	// writeTimeout is the constant of that name, except in tests.
+	writeTimeout time.Duration
 	// stopped is closed when Stop has returned.
 	stopped    chan struct{}
 	stopOnce   sync.Once
@@ -120,6 +122,7 @@
 		callsCut:        metrics.NewCounterVec(scope, "calls_cut", "taken", "state"),
 		answersCut:      metrics.NewCounterVec(scope, "answers_cut", "reason", "sent"),
 		callPanics:      scope.Counter("call_panics"),
+		writeTimeout:    writeTimeout,
 		stopped:         make(chan struct{}),
 		shedder:         newLoadShedder(s.Limits.MaxProcessorWait.Value(), scope, logger),
 		memory:          held,
--- a/internal/adapters/callerhttp/sink.go
+++ b/internal/adapters/callerhttp/sink.go
@@ -30,6 +30,8 @@
 	setHeader func(http.Header)
 	conn      net.Conn
 	held      *heldMemory
+	// writeTimeout is the maximum time that the caller may leave a part unread.
+	writeTimeout time.Duration
 	// begunAt is when the answer began, in nanoseconds since the Unix epoch; zero before.
 	begunAt atomic.Int64
 	// status and header are those of Begin. headSent is true once they were sent.
@@ -42,8 +44,13 @@
 	deadlineSetAt time.Time
 }
 
-func newAnswerSink(w http.ResponseWriter, conn net.Conn, held *heldMemory, setHeader func(http.Header)) *answerSink {
-	return &answerSink{writer: w, controller: http.NewResponseController(w), conn: conn, held: held, setHeader: setHeader}
+func newAnswerSink(
+	w http.ResponseWriter, conn net.Conn, held *heldMemory, writeTimeout time.Duration, setHeader func(http.Header),
+) *answerSink {
+	return &answerSink{
+		writer: w, controller: http.NewResponseController(w), conn: conn, held: held, writeTimeout: writeTimeout,
+		setHeader: setHeader,
+	}
 }
 
 // Begin implements ports.AnswerSink.
@@ -55,11 +62,8 @@
 
 // Write implements ports.AnswerSink.
 func (s *answerSink) Write(part []byte) error {
-	if now := time.Now(); now.Sub(s.deadlineSetAt) >= writeDeadlineInterval {
-		if err := s.controller.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
-			return eris.Wrap(err, "set the write deadline")
-		}
-		s.deadlineSetAt = now
+	if err := s.extendDeadline(); err != nil {
+		return err
 	}
 	s.sendHead()
 	if _, err := s.writer.Write(part); err != nil {
@@ -72,9 +76,12 @@
 	return nil
 }
 
-// finish ends an answer whose last part was written.
+// finish ends an answer whose last part was written. The HTTP server still sends the end of
+// the body.
 func (s *answerSink) finish() {
 	if s.Begun() {
+		// An error means that the connection is closed already.
+		_ = s.extendDeadline()
 		s.sendHead()
 	}
 }
@@ -93,6 +100,19 @@
 	s.writer.WriteHeader(s.status)
 }
 
+// extendDeadline gives the caller the whole time for another part.
+func (s *answerSink) extendDeadline() error {
+	now := time.Now()
+	if now.Sub(s.deadlineSetAt) < writeDeadlineInterval {
+		return nil
+	}
+	if err := s.controller.SetWriteDeadline(now.Add(s.writeTimeout)); err != nil {
+		return eris.Wrap(err, "set the write deadline")
+	}
+	s.deadlineSetAt = now
+	return nil
+}
+
 // Reserve implements ports.AnswerSink.
 func (s *answerSink) Reserve(bytes int64) bool {
 	return s.held.reserveAnswer(bytes)
