A run whose answer has just come is not replaced for its silence before

What callers saw (by a test): an event of a stream that is missing, or a connection closed without a byte, when a server went on at the moment at which its silence was noticed.

Cause: the watchdog measures the silence before it asks for a replacement, and the answer may be admitted between the two. The replacement begins beside a run that is about to write; if its server accepts first, as on a daemon that gets little processor time, the run's event counts as relayed and isn't, or its answer counts as begun and no other may follow.

Change: a try remembers when it was last admitted.

--- a/internal/app/execution/try.go
+++ b/internal/app/execution/try.go
@@ -31,6 +31,9 @@
 	// replaced once a run has lost its place to another try. Both are guarded by the
 	// loop's mutex.
 	accepted, replaced bool
+	// admittedAt is when the try was last allowed to relay a part of its answer. It is
+	// guarded by the loop's mutex.
+	admittedAt time.Time
 }
 
 // newTryLocked returns a try of the call on the slot's server. The caller holds the
@@ -97,7 +100,9 @@
 	defer r.mu.Unlock()
 	isSilentRun := t == r.relaying && r.replacement == nil && !t.replaced
 	isSilentReplacement := t == r.replacement && !t.accepted
-	if !isSilentRun && !isSilentReplacement || r.sink.CallerGone() {
+	// A part of the answer that came while the silence was noticed is about to be relayed.
+	endedSilence := time.Since(t.admittedAt) < silence/2
+	if !isSilentRun && !isSilentReplacement || endedSilence || r.sink.CallerGone() {
 		return
 	}
 	slot := r.acquireReplacementLocked(silence)
@@ -230,6 +235,7 @@
 	case t.replaced:
 		return ports.ErrRunReplaced
 	}
+	t.admittedAt = time.Now()
 	r.dropReplacementLocked(replacementUnneeded)
 	return nil
 }
--- a/internal/app/execution/try_test.go
+++ b/internal/app/execution/try_test.go
@@ -298,3 +298,26 @@
 		t.Errorf("got %q", body)
 	}
 }
+
+// The silence of a run was noticed while its answer came. Its replacement was accepted before
+// the run wrote, which lost the event, or closed the caller's connection without a byte.
+func TestRunWhoseAnswerComesIsNotReplaced(t *testing.T) {
+	result, answer, runs := executeScripts(t, true, 1,
+		func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) ports.RunResult {
+			if err := call.Supervisor.RecordEvent(1); err != nil {
+				t.Error(err)
+			}
+			call.Supervisor.RecordSilence(time.Second)
+			select {
+			case <-ctx.Done():
+			case <-time.After(100 * time.Millisecond):
+			}
+			return answerText(sink, "first")
+		},
+		func(_ context.Context, _ *ports.Call, sink ports.AnswerSink) ports.RunResult {
+			return answerText(sink, "second")
+		})
+	if result.Refusal != nil || answer != "first" || runs != 1 {
+		t.Errorf("got %+v, answer %q, %d runs", result, answer, runs)
+	}
+}
