--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -157,26 +158,65 @@
 	call.DemandWeight = s.shedder.demandWeight()
 	ctx, refuse := context.WithCancelCause(r.Context())
 	defer refuse(nil)
-	sink := newAnswerSink(w, connFromContext(r.Context()), held, func(header http.Header) {
+	sink := newAnswerSink(w, connFromContext(r.Context()), held, s.writeTimeout, func(header http.Header) {
 		s.dialect.SetAnswerHeader(header, call.ID)
 		s.updateConnectionHeader(header, r)
 	})
 	_, isInStop := s.cutAtOf(r.Context())
 	open := &openCall{Call: call, sink: sink, ctx: ctx, refuse: refuse, takenInStop: isInStop}
 	s.openCalls.add(open)
-	result := s.executor.Execute(ctx, call, sink)
+	result := s.executeContained(ctx, call, sink)
 	s.openCalls.remove(open, result)
 	if result.Refusal == nil {
+		sink.finish()
 		return
 	}
 	s.countRefusal(result.Refusal)
-	if sink.Begun() {
+	if sink.headSent {
+		s.recordCutAnswer(r, call, sink, result.Refusal)
 		abortAnswer(r)
 	}
 	s.updateConnectionHeader(w.Header(), r)
 	s.dialect.WriteRefusal(w, call.ID, result.Refusal)
 }
 
+// executeContained passes the call to the executor. A panic ends the call as failed, so that its
+// caller gets an answer.
+func (s *Server) executeContained(ctx context.Context, call *ports.Call, sink *answerSink) (result outcome.Result) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		s.callPanics.Inc(1)
+		if s.logLimiter.Allow("call-panicked", "") {
+			s.logger.Error().Str("event", "call-panicked").Str("request", string(call.ID)).
+				Str("service", string(call.Service)).Str("cause", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).Msg("")
+		}
+		result = outcome.Result{End: outcome.Unknown, Refusal: &outcome.Refusal{
+			Reason: outcome.ReasonInternal, End: outcome.Unknown, Detail: "a fault of the daemon ended the call",
+		}}
+	}()
+	return s.executor.Execute(ctx, call, sink)
+}
+
+// recordCutAnswer counts and logs an answer whose head was sent and that ends early.
+func (s *Server) recordCutAnswer(r *http.Request, call *ports.Call, sink *answerSink, refusal *outcome.Refusal) {
+	sent := "part"
+	if sink.bytesSent == 0 {
+		sent = "no-body"
+	}
+	s.answersCut.Inc(string(refusal.Reason), sent)
+	if !s.logLimiter.Allow("answer-cut", string(refusal.Reason)) {
+		return
+	}
+	_, takenOver := r.Context().Value(takenOverKey{}).(*takenOverConn)
+	s.logger.Info().Str("event", "answer-cut").Str("request", string(call.ID)).
+		Str("workspace", string(call.Workspace)).Str("service", string(call.Service)).
+		Str("reason", string(refusal.Reason)).Int64("bytesSent", sink.bytesSent).Bool("callerGone", sink.CallerGone()).
+		Bool("takenOver", takenOver).Dur("age", time.Since(call.Arrived)).Msg("")
+}
+
 // abortAnswer ends the connection without ending the body, so that the caller does not take a
 // truncated answer for a complete one.
 func abortAnswer(r *http.Request) {
--- a/internal/adapters/callerhttp/server.go
+++ b/internal/adapters/callerhttp/server.go
@@ -73,6 +73,12 @@
 	cutAt        cutTime
 	watchingCuts atomic.Bool
 	callsCut     *metrics.CounterVec
+	// answersCut counts the answers that ended early, and callPanics the calls that a fault
+	// of the program ended.
+	answersCut *metrics.CounterVec
+	callPanics tally.Counter
+	// writeTimeout is the constant of that name, except in tests.
+	writeTimeout time.Duration
 	// stopped is closed when Stop has returned.
 	stopped    chan struct{}
 	stopOnce   sync.Once
@@ -114,6 +120,9 @@
 		scope:           scope,
 		openCalls:       newOpenCalls(),
 		callsCut:        metrics.NewCounterVec(scope, "calls_cut", "taken", "state"),
+		answersCut:      metrics.NewCounterVec(scope, "answers_cut", "reason", "sent"),
+		callPanics:      scope.Counter("call_panics"),
+		writeTimeout:    writeTimeout,
 		stopped:         make(chan struct{}),
 		shedder:         newLoadShedder(s.Limits.MaxProcessorWait.Value(), scope, logger),
 		memory:          held,
--- a/internal/adapters/callerhttp/sink.go
+++ b/internal/adapters/callerhttp/sink.go
@@ -21,7 +21,8 @@
 	writeDeadlineInterval = 2 * time.Second
 )
 
-// answerSink relays an answer to the caller and flushes each part.
+// answerSink relays an answer to the caller and flushes each part. It sends the head with the
+// first part, so that a call that ends before gets another answer.
 type answerSink struct {
 	writer     http.ResponseWriter
 	controller *http.ResponseController
@@ -29,41 +30,88 @@
 	setHeader func(http.Header)
 	conn      net.Conn
 	held      *heldMemory
+	// writeTimeout is the maximum time that the caller may leave a part unread.
+	writeTimeout time.Duration
 	// begunAt is when the answer began; nil before.
 	begunAt atomic.Pointer[time.Time]
+	// status and header are those of Begin. headSent is true once they were sent.
+	status   int
+	header   ports.Header
+	headSent bool
+	// bytesSent is the number of bytes of the body that were sent.
+	bytesSent int64
 	// deadlineSetAt is when the write deadline was last set.
 	deadlineSetAt time.Time
 }
 
-func newAnswerSink(w http.ResponseWriter, conn net.Conn, held *heldMemory, setHeader func(http.Header)) *answerSink {
-	return &answerSink{writer: w, controller: http.NewResponseController(w), conn: conn, held: held, setHeader: setHeader}
+func newAnswerSink(
+	w http.ResponseWriter, conn net.Conn, held *heldMemory, writeTimeout time.Duration, setHeader func(http.Header),
+) *answerSink {
+	return &answerSink{
+		writer: w, controller: http.NewResponseController(w), conn: conn, held: held, writeTimeout: writeTimeout,
+		setHeader: setHeader,
+	}
 }
 
 // Begin implements ports.AnswerSink.
 func (s *answerSink) Begin(status int, header ports.Header) error {
 	now := time.Now()
 	s.begunAt.Store(&now)
-	target := s.writer.Header()
-	for name, values := range header {
-		target[name] = values
-	}
-	s.setHeader(target)
-	s.writer.WriteHeader(status)
+	s.status, s.header = status, header
 	return nil
 }
 
 // Write implements ports.AnswerSink.
 func (s *answerSink) Write(part []byte) error {
-	if now := time.Now(); now.Sub(s.deadlineSetAt) >= writeDeadlineInterval {
-		if err := s.controller.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
-			return eris.Wrap(err, "set the write deadline")
-		}
-		s.deadlineSetAt = now
+	if err := s.extendDeadline(); err != nil {
+		return err
 	}
+	s.sendHead()
 	if _, err := s.writer.Write(part); err != nil {
 		return eris.Wrap(err, "write to the caller")
 	}
-	return s.flush()
+	if err := s.flush(); err != nil {
+		return err
+	}
+	s.bytesSent += int64(len(part))
+	return nil
+}
+
+// finish ends an answer whose last part was written. The HTTP server still sends the end of
+// the body.
+func (s *answerSink) finish() {
+	if s.Begun() {
+		// An error means that the connection is closed already.
+		_ = s.extendDeadline()
+		s.sendHead()
+	}
+}
+
+// sendHead sends the status and header, unless they were sent.
+func (s *answerSink) sendHead() {
+	if s.headSent {
+		return
+	}
+	s.headSent = true
+	target := s.writer.Header()
+	for name, values := range s.header {
+		target[name] = values
+	}
+	s.setHeader(target)
+	s.writer.WriteHeader(s.status)
+}
+
+// extendDeadline gives the caller the whole time for another part.
+func (s *answerSink) extendDeadline() error {
+	now := time.Now()
+	if now.Sub(s.deadlineSetAt) < writeDeadlineInterval {
+		return nil
+	}
+	if err := s.controller.SetWriteDeadline(now.Add(s.writeTimeout)); err != nil {
+		return eris.Wrap(err, "set the write deadline")
+	}
+	s.deadlineSetAt = now
+	return nil
 }
 
 // Reserve implements ports.AnswerSink.
