Soak: calls that outlast a stop, and a platform that kills

What callers saw: nothing, in the soak.

Change: -cut-stops gives daemons killedAfter 5 s and announce 1.8 s, and the soak kills a process that is still there 5 s after SIGTERM (8 s without the flag). Of the four kinds of calls, drawn by the seed, one always lasts 6 s, one in 0.3 of its calls, two never; every other caller sends short calls only.

With -planned-stops a call that a server got may end without a whole answer, or with cut-by-stop, only if a stop can have cut it: the daemon, or for relayed connections another one, was at its cut, the server's answer would have ended after it, and the call was sent before the signal took effect, or it is of a kind with varying lengths of which the daemon had not seen one as long. Repeatable calls of such a kind count as unseen: a daemon takes them if they usually fit. A 503 for a call that ran is a violation there for repeatable calls too, and so is it when more than half of the short calls in announcements are refused by daemons that know such calls. All other ends without an answer stay violations as before.

--- a/testbench/soak/backends.go
+++ b/testbench/soak/backends.go
@@ -91,6 +91,7 @@
 	listedAddress string
 	state         serverState
 	checker       *checker
+	cuts          *stopCuts
 	failureMode   atomic.Int32
 	// pausedUntil is the Unix time in nanoseconds until which the server sends nothing.
 	pausedUntil atomic.Int64
@@ -99,9 +100,9 @@
 	closed      chan struct{}
 }
 
-func newBackendServer(name, service, zone string, versionNumber int, c *checker) *backendServer {
+func newBackendServer(name, service, zone string, versionNumber int, c *checker, cuts *stopCuts) *backendServer {
 	s := &backendServer{
-		Server: platformtest.NewServer(name), service: service, zone: zone, checker: c,
+		Server: platformtest.NewServer(name), service: service, zone: zone, checker: c, cuts: cuts,
 		closed: make(chan struct{}), cold: coldArrivals{coldTill: time.Now().Add(coldTime)},
 	}
 	s.versionNumber.Store(int32(versionNumber))
@@ -196,15 +197,28 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.waitWhilePaused()
-	if mode == noFailure && rand.IntN(unframedEvery) == 0 {
+	isLong := s.cuts.isLong(id)
+	if mode == noFailure && !isLong && rand.IntN(unframedEvery) == 0 {
 		s.sendUnframed(w, platformtest.StreamID(r), id, version, lastEvent)
 		return
 	}
 	if s.service == "llm" {
-		s.sendStream(w, platformtest.StreamID(r), lastEvent, version, mode == truncateAnswer)
+		interval := time.Duration(rand.Int64N(int64(maxEventInterval)))
+		events := time.Duration(streamEventCount - lastEvent)
+		if isLong {
+			interval = longCall / max(events, 1)
+		}
+		s.cuts.recordRun(id, interval*events)
+		s.sendStream(w, platformtest.StreamID(r), lastEvent, version, interval, mode == truncateAnswer)
 		return
 	}
 	body := plainBody(id)
+	if isLong && mode == noFailure {
+		s.cuts.recordRun(id, longCall)
+		sendSlowly(w, r, body)
+		return
+	}
+	s.cuts.recordRun(id, 0)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if mode == truncateAnswer {
 		if rand.IntN(2) == 0 {
@@ -217,15 +231,32 @@
 	_, _ = io.WriteString(w, body)
 }
 
-// sendStream sends the events that follow lastEvent. If truncate is set, it closes the
-// connection after a random number of them, within the next event.
-func (s *backendServer) sendStream(w http.ResponseWriter, id string, lastEvent int, version string, truncate bool) {
+// sendSlowly sends the body of a plain service's answer within longCall: in pieces, or all of it
+// at the end if the request may not be repeated.
+func sendSlowly(w http.ResponseWriter, r *http.Request, body string) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	pause := longCall
+	if platformtest.IsRepeatable(r) || rand.IntN(2) == 0 {
+		pause /= time.Duration(len(body))
+		for ; len(body) > 1; body = body[1:] {
+			_, _ = io.WriteString(w, body[:1])
+			w.(http.Flusher).Flush()
+			time.Sleep(pause)
+		}
+	}
+	time.Sleep(pause)
+	_, _ = io.WriteString(w, body)
+}
+
+// sendStream sends the events that follow lastEvent, with a pause of interval after each. If
+// truncate is set, it closes the connection after a random number of them, within the next
+// event.
+func (s *backendServer) sendStream(w http.ResponseWriter, id string, lastEvent int, version string, interval time.Duration, truncate bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	end := streamEventCount
 	if truncate {
 		end = lastEvent + rand.IntN(streamEventCount-lastEvent+1)
 	}
-	interval := time.Duration(rand.Int64N(int64(maxEventInterval)))
 	for event := lastEvent + 1; event <= end; event++ {
 		s.waitWhilePaused()
 		_, _ = io.WriteString(w, streamEvent(id, event, version))
--- a/testbench/soak/callers.go
+++ b/testbench/soak/callers.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// callTimeout is the usual timeout of a call, and maxEarlyTimeout the longest one of a
-	// caller that hangs up early.
-	callTimeout     = 4 * time.Second
-	maxEarlyTimeout = 400 * time.Millisecond
+	// usualCallTimeout is the timeout of a call in a run without long ones, and maxEarlyTimeout
+	// the longest one of a caller that hangs up early.
+	usualCallTimeout = 4 * time.Second
+	maxEarlyTimeout  = 400 * time.Millisecond
 )
 
 // caller sends calls one after the other. It reuses its connections, without an idle
@@ -37,6 +37,11 @@
 	mustBeAnswered bool
 	// runsMustBeAnswered says the same of calls that a backend server has received.
 	runsMustBeAnswered bool
+	// cuts excuses calls that a stop had to cut off.
+	cuts        *stopCuts
+	callTimeout time.Duration
+	// kinds are those that the caller chooses from.
+	kinds []callKind
 }
 
 func (c *caller) run(ctx context.Context, group *sync.WaitGroup) {
@@ -73,7 +78,7 @@
 // is resumed.
 func (c *caller) sendCall(id string) {
 	next := call{
-		id: id, kind: callKinds[c.random.IntN(len(callKinds))], key: "key-1", workspace: "t1", timeout: callTimeout,
+		id: id, kind: c.kinds[c.random.IntN(len(c.kinds))], key: "key-1", workspace: "t1", timeout: c.callTimeout,
 		promptPrefix: fmt.Sprintf("%02x", c.random.IntN(9)),
 	}
 	if c.random.IntN(4) == 0 {
@@ -83,6 +88,13 @@
 		// Callers name their timeout in whole milliseconds.
 		next.timeout = time.Duration(1+c.random.Int64N(maxEarlyTimeout.Milliseconds())) * time.Millisecond
 	}
+	isLong := false
+	if part := c.cuts.longParts[next.kind.path]; part > 0 {
+		isLong = c.random.Float64() < part
+	}
+	if isLong {
+		c.cuts.setLong(next.id)
+	}
 	if !next.kind.stream && c.random.IntN(4) == 0 {
 		next.bodyRepeats = c.random.IntN(maxBodyRepeats)
 	}
@@ -92,7 +104,10 @@
 			return
 		}
 		time.Sleep(time.Duration(c.random.IntN(100)) * time.Millisecond)
-		next.id, next.resumes, next.timeout = fmt.Sprintf("%s-r%d", id, try), id, callTimeout
+		next.id, next.resumes, next.timeout = fmt.Sprintf("%s-r%d", id, try), id, c.callTimeout
+		if isLong {
+			c.cuts.setLong(next.id)
+		}
 		next.lastEvent = max(next.lastEvent, c.send(next))
 	}
 }
@@ -124,14 +139,21 @@
 	}
 	revoked := next.key == "key-2" && c.isKeyRevoked()
 	c.checker.recordCall(next.id, next.kind, next.workspace)
+	sent := sentCall{call: next, address: address, sentAt: time.Now()}
 	response, err := c.client.Do(request)
 	if err != nil {
-		c.checkAnswered(ctx, next.id, err)
+		c.checkAnswered(ctx, sent, err)
 		return 0
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	c.checkAnswered(ctx, next.id, err)
+	c.checkAnswered(ctx, sent, err)
+	if err == nil && !c.cuts.recordAnswer(sent, response.StatusCode, string(body)) && c.runsMustBeAnswered {
+		c.checker.addViolation("cut: %s, sent to %s at %s: %s", next.id, address, sent.sentAt.Format(timeFormat), body)
+	}
+	if c.runsMustBeAnswered && response.StatusCode == http.StatusServiceUnavailable && c.checker.hasRun(next.id) {
+		c.checker.addViolation("refused: %s was refused as not run, but it ran: %s", next.id, body)
+	}
 	if revoked && response.StatusCode == http.StatusOK {
 		c.checker.addViolation("configuration: %s was served with a revoked key", next.id)
 	}
@@ -147,12 +169,18 @@
 	return 0
 }
 
-// checkAnswered records a violation if a call that must be answered ended with err before
-// its deadline. The deadline counts by the clock: its timer may fire later.
-func (c *caller) checkAnswered(ctx context.Context, id string, err error) {
+// timeFormat is the format of times in violations, for the comparison with logs.
+const timeFormat = "15:04:05.000"
+
+// checkAnswered records a violation if a call that must be answered, and that no stop had to
+// cut off, ended with err before its deadline. The deadline counts by the clock: its timer may
+// fire later.
+func (c *caller) checkAnswered(ctx context.Context, sent sentCall, err error) {
 	deadline, _ := ctx.Deadline()
-	mustBeAnswered := c.mustBeAnswered || c.runsMustBeAnswered && c.checker.hasRun(id)
-	if mustBeAnswered && err != nil && time.Now().Before(deadline) {
-		c.checker.addViolation("lost: %s ended without an answer: %v", id, err)
+	if err == nil || time.Now().After(deadline) || c.cuts.recordBreak(sent) {
+		return
+	}
+	if c.mustBeAnswered || c.runsMustBeAnswered && c.checker.hasRun(sent.id) {
+		c.checker.addViolation("lost: %s, sent to %s at %s, ended without an answer: %v", sent.id, sent.address, sent.sentAt.Format(timeFormat), err)
 	}
 }
--- a/testbench/soak/faults.go
+++ b/testbench/soak/faults.go
@@ -77,9 +77,13 @@
 // candidates returns the faults that a run with the options chooses from.
 func (o *Options) candidates() []fault {
 	candidates := faults
+	plannedStop := fault{"planned stop of a daemon", (*soakRun).stopDaemon}
 	switch {
+	case o.PlannedStopsOnly && o.CutStops:
+		// The length of a call is known only where no server pauses.
+		candidates = append([]fault{plannedStop}, silentServerFaults[1:]...)
 	case o.PlannedStopsOnly:
-		candidates = append([]fault{{"planned stop of a daemon", (*soakRun).stopDaemon}}, silentServerFaults...)
+		candidates = append([]fault{plannedStop}, silentServerFaults...)
 	case o.SilentServersOnly:
 		candidates = silentServerFaults
 	}
@@ -218,7 +222,7 @@
 		return nil
 	}
 	d.exitExpected = true
-	_ = d.Terminate()
+	r.terminate(d)
 	stopping := d.PID()
 	return func() {
 		if d.PID() == stopping && d.Running() {
@@ -351,6 +355,9 @@
 func (r *soakRun) writeConfiguration() {
 	spec := platformtest.Configuration(r.configurationVersion)
 	setWarmUp(spec)
+	if r.options.CutStops {
+		r.setLongTimeouts(spec)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.revocationDeadline.IsZero() {
--- a/testbench/soak/soak.go
+++ b/testbench/soak/soak.go
@@ -33,6 +33,10 @@
 	// SilentServersOnly. No call that a backend server has received may then end without an
 	// answer.
 	PlannedStopsOnly bool
+	// CutStops lets some calls last longer than the time from SIGTERM to the platform's kill.
+	// With PlannedStopsOnly, no server pauses, and a stop may cut off only calls that it could
+	// neither finish nor refuse.
+	CutStops bool
 	// LateDaemons is the number of daemons that count as busy all the time and hand their
 	// connections over to others.
 	LateDaemons int
@@ -54,6 +58,8 @@
 	// ResumedStreams is the number of streams that went on after their callers resumed
 	// them.
 	ResumedStreams int
+	// Stops are the effects of planned stops.
+	Stops StopCounts
 	// Violations describes the violated guarantees.
 	Violations []string
 }
@@ -84,6 +90,9 @@
 	store   *platformtest.Store
 	network *faultproxy.Network
 	checker *checker
+	cuts    *stopCuts
+	// stops are the waits for daemons that stop.
+	stops   sync.WaitGroup
 	servers []*backendServer
 	// replacedServers are out of use. They run until the end, as calls sent before may
 	// still be in progress there.
@@ -134,9 +143,12 @@
 	}
 	r := &soakRun{
 		options: options, random: rand.New(rand.NewPCG(options.Seed, 7)), store: platformtest.NewStore(),
-		network: faultproxy.NewNetwork(), checker: newChecker(), configurationVersion: 3,
+		network: faultproxy.NewNetwork(), checker: newChecker(), cuts: newStopCuts(), configurationVersion: 3,
 	}
 	defer r.close()
+	if r.options.CutStops {
+		r.setUpCuts()
+	}
 	if err := r.start(); err != nil {
 		return Result{}, err
 	}
@@ -158,9 +170,12 @@
 	}
 	cancel()
 	callers.Wait()
+	if r.options.PlannedStopsOnly {
+		r.cuts.check(r.checker)
+	}
 	return Result{
 		CompletedCalls: r.checker.completedCalls(), ResumedStreams: r.checker.resumedStreams(),
-		Violations: r.checker.allViolations(),
+		Stops: r.cuts.counted(), Violations: r.checker.allViolations(),
 	}, nil
 }
 
@@ -172,6 +187,7 @@
 			<-d.Exited()
 		}
 	}
+	r.stops.Wait()
 	for _, server := range append(r.servers, r.replacedServers...) {
 		server.Close()
 	}
@@ -232,10 +248,14 @@
 	if r.options.Evacuate {
 		text = withEvacuations(text)
 	}
+	if r.options.CutStops {
+		text = platformtest.WithStop(text, cutKillAfter, cutAnnounce)
+	}
 	if r.options.LateDaemons > 0 {
 		processors := enoughProcessors
 		if index < r.options.LateDaemons {
 			processors = busyProcessors
+			r.cuts.late[addresses.Callers] = true
 		}
 		text = platformtest.WithHandover(text, addresses, processors)
 	}
@@ -255,7 +275,7 @@
 	if r.options.Evacuate {
 		zone = evacuationZone(r.startedServers)
 	}
-	server := newBackendServer(name, service, zone, 1+r.startedServers/2%softwareVersions, r.checker)
+	server := newBackendServer(name, service, zone, 1+r.startedServers/2%softwareVersions, r.checker, r.cuts)
 	r.servers = append(r.servers, server)
 	server.listedAddress, server.state = server.Address(), stateReady
 	if link, err := r.network.AddLink("daemons", server.Name, server.Address(), 0); err == nil {
@@ -283,6 +303,7 @@
 		c := &caller{
 			name: fmt.Sprintf("c%d", i), checker: r.checker, daemonAddresses: addresses, isKeyRevoked: r.isKeyRevoked,
 			mustBeAnswered: r.options.SilentServersOnly, runsMustBeAnswered: r.options.PlannedStopsOnly,
+			cuts: r.cuts, callTimeout: r.callTimeout(), kinds: r.kindsOf(i),
 			random: rand.New(rand.NewPCG(r.options.Seed, uint64(i)+100)),
 			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 		}
@@ -291,6 +312,14 @@
 	}
 }
 
+// callTimeout returns the timeout of callers who don't hang up early.
+func (r *soakRun) callTimeout() time.Duration {
+	if r.options.CutStops {
+		return longCallTimeout
+	}
+	return usualCallTimeout
+}
+
 // isKeyRevoked reports whether daemons must reject key-2.
 func (r *soakRun) isKeyRevoked() bool {
 	r.mu.Lock()
--- a/testbench/soak/soak_test.go
+++ b/testbench/soak/soak_test.go
@@ -73,6 +73,19 @@
 	})
 }
 
+// Stops cut off calls that had come after their announcement and could not end in time.
+func TestStopsCutNoCallsThatTheyCouldRefuse(t *testing.T) {
+	for _, seed := range []uint64{7201, 7202} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSoak(t, Options{
+				Seed: seed, Daemons: 4, Callers: 40, ServersPerService: 3, FaultDuration: 8 * time.Second,
+				PlannedStopsOnly: true, CutStops: true,
+			})
+		})
+	}
+}
+
 // Backend servers that pause and go on, beside changes of the configuration, end no call
 // without an answer.
 func TestSilentServersLoseNoCalls(t *testing.T) {
