--- a/testbench/soak/stopcuts.go
+++ b/testbench/soak/stopcuts.go
@@ -215,8 +215,7 @@
 	if c.longParts[sent.kind.path] == 1 {
 		return true
 	}
-	// A daemon takes repeatable calls that usually end in time.
-	if sent.kind.repeatable || len(c.late) > 0 {
+	if len(c.late) > 0 {
 		return false
 	}
 	return slices.ContainsFunc(c.knownLocked(sent), func(known completion) bool { return known.length >= length })
