A stop closes cut connections after their refusals are written

What callers saw: a call that a stop cuts off before its answer has begun got the end of its connection instead of its refusal.

Cause: execute removes a call from the set of calls in progress before it writes the refusal. cutCalls waits until the set is empty, and Stop then closes all connections.

Change: cutCalls waits for http.Server.Shutdown, which ends when each connection has been answered, for as long as before at most.

--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -7,7 +7,6 @@
 
 	"hawthornstream/internal/core/gracefulstop"
 	"hawthornstream/internal/core/outcome"
-	"hawthornstream/internal/pause"
 	"hawthornstream/internal/ports"
 )
 
@@ -188,7 +187,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cutAnswerMargin)
 	defer cancel()
-	for len(s.openCalls.unsorted()) > 0 && pause.For(ctx, drainCheckInterval) {
+	// Shutdown waits until the answers are sent. An error means that the time is over.
+	_ = s.httpServer.Shutdown(ctx)
+	if s.handover != nil {
+		_ = s.handover.httpServer.Shutdown(ctx)
 	}
 }
 
--- a/internal/adapters/callerhttp/stopping_test.go
+++ b/internal/adapters/callerhttp/stopping_test.go
@@ -117,3 +117,33 @@
 		}
 	}
 }
+
+// slowRefusals is a dialect that takes its time to write a refusal.
+type slowRefusals struct{ Dialect }
+
+func (d slowRefusals) WriteRefusal(w http.ResponseWriter, id ports.RequestID, refusal *outcome.Refusal) {
+	time.Sleep(3 * drainCheckInterval)
+	d.Dialect.WriteRefusal(w, id, refusal)
+}
+
+// Connections were closed while the refusals of the calls that a stop cuts off were written.
+func TestCutConnectionsAreClosedAfterTheirRefusals(t *testing.T) {
+	sent := make(chan struct{})
+	daemon := startHandoverDaemon(t, executorFunc(func(ctx context.Context, call *ports.Call, _ ports.AnswerSink) outcome.Result {
+		call.SendGate.Send(time.Now())
+		close(sent)
+		<-ctx.Done()
+		return refusedBy(ctx, outcome.Unknown)
+	}))
+	daemon.dialect = slowRefusals{daemon.dialect}
+	go func() {
+		<-sent
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = daemon.Stop(ctx)
+	}()
+	response := daemon.dial(t).exchange()
+	if run := response.Header.Get(headerRun); response.StatusCode != http.StatusGatewayTimeout || run != string(outcome.Unknown) {
+		t.Errorf("status %d, run %q", response.StatusCode, run)
+	}
+}
