A run with an idempotency key ends when its call is cut off

What callers saw: a call with an idempotency key, of a plain service, that a stop cut off before its answer had begun got the end of its connection instead of a refusal.

Cause: the context of such a run doesn't end with that of the call, so that its answer is recorded if the caller hangs up. The refusal of a stop didn't end it either, and the call didn't end before its connection was closed.

Change: the run ends when its call is refused; the run state that is recorded for its key is unknown. Where only the relay of the connection stops, the call isn't refused at the cut: the run goes on and its answer is recorded, as it was.

--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -150,7 +150,8 @@
 
 // giveUpBeforeCut ends a call that waits to be sent and could not end before its connection is
 // cut off, and right before the cut each call of which the caller has got nothing, so that it
-// gets an answer that says whether the call ran.
+// gets an answer that says whether the call ran. Refusing a call ends its run: one that outlives
+// its caller goes on unless this daemon stops.
 func (s *Server) giveUpBeforeCut(call *openCall) {
 	cutAt, ok := s.cutAtOf(call.ctx)
 	if !ok {
@@ -168,6 +169,9 @@
 		call.refuse(newStoppingRefusal("the daemon stops before the call would end"))
 		return
 	}
+	if _, isStopping := s.cutAt.get(); !isStopping && call.OutlivesCaller() {
+		return
+	}
 	if outlook.UntilCut <= cutAnswerMargin && !call.sink.Begun() {
 		s.callsCut.Inc(call.taken(), "unanswered")
 		call.refuse(newCutRefusal())
--- a/internal/adapters/callerhttp/stopping_test.go
+++ b/internal/adapters/callerhttp/stopping_test.go
@@ -147,3 +147,32 @@
 		t.Errorf("status %d, run %q", response.StatusCode, run)
 	}
 }
+
+// The answer of a run with an idempotency key is recorded though its relay stops.
+func TestRunWithKeyOutlivesTheStopOfItsRelay(t *testing.T) {
+	called, ended := make(chan struct{}), make(chan error, 1)
+	runs := executorFunc(func(ctx context.Context, call *ports.Call, _ ports.AnswerSink) outcome.Result {
+		call.SendGate.Send(time.Now())
+		close(called)
+		select {
+		case <-ctx.Done():
+		case <-time.After(500 * time.Millisecond):
+		}
+		ended <- context.Cause(ctx)
+		return outcome.Result{End: outcome.Ran}
+	})
+	late, serving := startHandoverDaemon(t, runs), startHandoverDaemon(t, runs)
+	serving.offerTo(late)
+	late.makeLate()
+	conn := late.dial(t)
+	request := newRequest(t, http.MethodPost, "http://callers/services/registry/x", "body")
+	request.Header.Set(headerIdempotencyKey, "k")
+	if err := request.Write(conn.conn); err != nil {
+		t.Fatal(err)
+	}
+	<-called
+	late.AnnounceStop(time.Now().Add(200 * time.Millisecond))
+	if err := <-ended; err != nil {
+		t.Errorf("the run ended: %v", err)
+	}
+}
--- a/internal/app/execution/executor.go
+++ b/internal/app/execution/executor.go
@@ -87,8 +87,8 @@
 // withCause returns the result with the reason of the refusal for which the context ended, if
 // it did so for one.
 func withCause(ctx context.Context, result outcome.Result) outcome.Result {
-	var cause *outcome.Refusal
-	if result.Refusal == nil || !errors.As(context.Cause(ctx), &cause) {
+	cause := refusalOf(ctx)
+	if result.Refusal == nil || cause == nil {
 		return result
 	}
 	refusal := *cause
@@ -100,6 +100,13 @@
 	return result
 }
 
+// refusalOf returns the refusal for which the context ended; nil for none.
+func refusalOf(ctx context.Context) *outcome.Refusal {
+	var cause *outcome.Refusal
+	errors.As(context.Cause(ctx), &cause)
+	return cause
+}
+
 // executeWithRetries runs the call and retries it where that is safe.
 func (e *Executor) executeWithRetries(
 	ctx context.Context, call *ports.Call, sink ports.AnswerSink, trace *callTrace,
--- a/internal/app/execution/idempotency.go
+++ b/internal/app/execution/idempotency.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"hawthornstream/internal/app/idempotency"
-	"hawthornstream/internal/core/configuration"
 	core "hawthornstream/internal/core/idempotency"
 	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/ports"
@@ -38,7 +37,7 @@
 func (e *Executor) executeWithKey(
 	ctx context.Context, call *ports.Call, sink ports.AnswerSink, trace *callTrace, began *idempotency.BeginResult,
 ) outcome.Result {
-	recorder := &recordingSink{AnswerSink: sink, maxBytes: e.maxAnswerBytes, ignoreCallerErrors: call.Kind == configuration.ServiceKindPlain}
+	recorder := &recordingSink{AnswerSink: sink, maxBytes: e.maxAnswerBytes, ignoreCallerErrors: call.OutlivesCaller()}
 	result := e.executeWithRetries(ctx, call, recorder, trace)
 	e.keys.Finish(began, result.End, recorder.missingAnswerReason(result), recorder.recordedAnswer(result))
 	return result
--- a/internal/app/execution/idempotency_test.go
+++ b/internal/app/execution/idempotency_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"hawthornstream/internal/app/idempotency"
 	core "hawthornstream/internal/core/idempotency"
@@ -131,3 +132,28 @@
 		t.Errorf("got %q after %d runs", out.body, backend.runs())
 	}
 }
+
+// A run with an idempotency key outlasted the stop that cut its call off, so that the caller got
+// no answer before the connection was closed.
+func TestRunWithKeyEndsWhenItsCallIsRefused(t *testing.T) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	broken := runResult(outcome.Unknown, outcome.ReasonCallerGone)
+	backend := &fakeBackend{results: []ports.RunResult{broken}, onRun: func(runCtx context.Context, _ *ports.Call) {
+		cancel(&outcome.Refusal{Reason: outcome.ReasonCutByStop})
+		select {
+		case <-runCtx.Done():
+		case <-time.After(time.Second):
+			t.Error("the run goes on")
+		}
+	}}
+	executor := newTestExecutor(backend, &fakeBroker{})
+	result := executor.Execute(ctx, keyedCall("r1"), new(fakeSink))
+	if result.End != outcome.Unknown || reasonOf(result) != outcome.ReasonCutByStop {
+		t.Errorf("got %+v", result)
+	}
+	// The next attempt must not run the call again.
+	executor.Execute(context.Background(), keyedCall("r2"), new(fakeSink))
+	if backend.runs() != 1 {
+		t.Errorf("%d runs", backend.runs())
+	}
+}
--- a/internal/app/execution/retryloop.go
+++ b/internal/app/execution/retryloop.go
@@ -9,7 +9,6 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"hawthornstream/internal/core/configuration"
 	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/core/retry"
 	"hawthornstream/internal/pause"
@@ -146,14 +145,22 @@
 		server.Name, details.Granter, details.Waited, details.CallsAhead, details.ContendingWorkspaces)
 }
 
-// runContext returns the context of a run. A run for a plain service with an
-// idempotency key goes on when the caller hangs up, so that its answer is recorded
-// for the caller's next attempt.
+// runContext returns the context of a run. It ends with the caller's request, or, if the run
+// outlives the caller, when the call is refused.
 func (r *retryLoop) runContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	if r.call.IdempotencyKey == "" || r.call.Kind != configuration.ServiceKindPlain {
+	if !r.call.OutlivesCaller() {
 		return ctx, func() {}
 	}
-	return context.WithDeadline(context.WithoutCancel(ctx), r.call.Deadline)
+	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.call.Deadline)
+	stop := context.AfterFunc(ctx, func() {
+		if refusalOf(ctx) != nil {
+			cancel()
+		}
+	})
+	return runCtx, func() {
+		stop()
+		cancel()
+	}
 }
 
 // callForTry returns the call as it is sent. Unless KeepRequestID is set, a retry has
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -100,6 +100,12 @@
 	return c.Stream && (c.LastEventID > 0 || c.Resumes != "")
 }
 
+// OutlivesCaller reports whether a run of the call goes on when the caller hangs up, so that its
+// answer is recorded for the caller's next attempt.
+func (c *Call) OutlivesCaller() bool {
+	return c.IdempotencyKey != "" && c.Kind == configuration.ServiceKindPlain
+}
+
 // Prompt describes the work of a call for a model engine.
 type Prompt struct {
 	Model string
