A call that a stop ends before its cut is counted once

What operators saw: callers_calls_cut with the state "unanswered" grew at each look at the calls in progress, 50 ms apart, until the run of a refused call had ended; for a call on a relayed connection as long as the run went on.

--- a/internal/adapters/callerhttp/stopping_test.go
+++ b/internal/adapters/callerhttp/stopping_test.go
@@ -176,3 +176,22 @@
 		t.Errorf("the run ended: %v", err)
 	}
 }
+
+// A call whose run took a while to end was counted at each look at the calls in progress.
+func TestCallThatIsCutIsCountedOnce(t *testing.T) {
+	listener, server, scope := newTestServer(t, executorFunc(func(ctx context.Context, call *ports.Call, _ ports.AnswerSink) outcome.Result {
+		call.SendGate.Send(time.Now())
+		<-ctx.Done()
+		time.Sleep(3 * cutCheckInterval)
+		return refusedBy(ctx, outcome.Unknown)
+	}))
+	defer close(server.stopped)
+	server.recordLengths(time.Millisecond)
+	server.AnnounceStop(time.Now().Add(200 * time.Millisecond))
+	send(t, newRequest(t, http.MethodPost, listener.URL+"/services/registry/x", ""))
+	for _, counter := range scope.Snapshot().Counters() {
+		if counter.Name() == "callers.calls_cut" && counter.Value() != 1 {
+			t.Errorf("counted %d times", counter.Value())
+		}
+	}
+}
