A call that a stop ends unsent is refused with a time to retry after

What callers saw: a call that was cut off while it waited for a server, by an interrupt or with its deadline right before the cut, was refused as not run, but without Retry-After, unlike other such refusals.

Change: the refusal has one, which the executor keeps only if the call has not run.

--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -178,8 +178,12 @@
 	}
 }
 
+// newCutRefusal returns a refusal whose RetryAfter holds only if the call has not run.
 func newCutRefusal() *outcome.Refusal {
-	return &outcome.Refusal{Reason: outcome.ReasonCutByStop, Detail: "the daemon stopped before the call had ended"}
+	return &outcome.Refusal{
+		Reason: outcome.ReasonCutByStop, Detail: "the daemon stopped before the call had ended",
+		RetryAfter: stoppingRetryAfter,
+	}
 }
 
 // cutCalls ends the calls in progress. It returns when those without an answer have got one
--- a/internal/adapters/callerhttp/stopping_test.go
+++ b/internal/adapters/callerhttp/stopping_test.go
@@ -195,3 +195,23 @@
 		}
 	}
 }
+
+// A call that was cut off while it waited for a server was refused as not run, without a time
+// to retry after.
+func TestCallThatIsCutUnsentMayBeRetried(t *testing.T) {
+	called := make(chan struct{})
+	daemon := startHandoverDaemon(t, executorFunc(func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) outcome.Result {
+		close(called)
+		return waitUntilRefused(ctx, call, sink)
+	}))
+	go func() {
+		<-called
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = daemon.Stop(ctx)
+	}()
+	response := daemon.dial(t).exchange()
+	if response.Header.Get(headerRun) != string(outcome.NotRun) || response.Header.Get(headerRetryAfter) == "" {
+		t.Errorf("got %v", response.Header)
+	}
+}
