--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -7,7 +7,6 @@
 
 	"hawthornstream/internal/core/gracefulstop"
 	"hawthornstream/internal/core/outcome"
-	"hawthornstream/internal/pause"
 	"hawthornstream/internal/ports"
 )
 
@@ -151,7 +150,8 @@
 
 // giveUpBeforeCut ends a call that waits to be sent and could not end before its connection is
 // cut off, and right before the cut each call of which the caller has got nothing, so that it
-// gets an answer that says whether the call ran.
+// gets an answer that says whether the call ran. Refusing a call ends its run: one that outlives
+// its caller goes on unless this daemon stops.
 func (s *Server) giveUpBeforeCut(call *openCall) {
 	cutAt, ok := s.cutAtOf(call.ctx)
 	if !ok {
@@ -169,14 +169,21 @@
 		call.refuse(newStoppingRefusal("the daemon stops before the call would end"))
 		return
 	}
-	if outlook.UntilCut <= cutAnswerMargin && !call.sink.Begun() {
+	if _, isStopping := s.cutAt.get(); !isStopping && call.OutlivesCaller() {
+		return
+	}
+	if outlook.UntilCut <= cutAnswerMargin && !call.sink.Begun() && call.ctx.Err() == nil {
 		s.callsCut.Inc(call.taken(), "unanswered")
 		call.refuse(newCutRefusal())
 	}
 }
 
+// newCutRefusal returns a refusal whose RetryAfter holds only if the call has not run.
 func newCutRefusal() *outcome.Refusal {
-	return &outcome.Refusal{Reason: outcome.ReasonCutByStop, Detail: "the daemon stopped before the call had ended"}
+	return &outcome.Refusal{
+		Reason: outcome.ReasonCutByStop, Detail: "the daemon stopped before the call had ended",
+		RetryAfter: stoppingRetryAfter,
+	}
 }
 
 // cutCalls ends the calls in progress. It returns when those without an answer have got one
@@ -188,7 +195,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cutAnswerMargin)
 	defer cancel()
-	for len(s.openCalls.unsorted()) > 0 && pause.For(ctx, drainCheckInterval) {
+	// Shutdown waits until the answers are sent. An error means that the time is over.
+	_ = s.httpServer.Shutdown(ctx)
+	if s.handover != nil {
+		_ = s.handover.httpServer.Shutdown(ctx)
 	}
 }
 
--- a/internal/adapters/callerhttp/stopping_test.go
+++ b/internal/adapters/callerhttp/stopping_test.go
@@ -117,3 +117,101 @@
 		}
 	}
 }
+
+// slowRefusals is a dialect that takes its time to write a refusal.
+type slowRefusals struct{ Dialect }
+
+func (d slowRefusals) WriteRefusal(w http.ResponseWriter, id ports.RequestID, refusal *outcome.Refusal) {
+	time.Sleep(3 * drainCheckInterval)
+	d.Dialect.WriteRefusal(w, id, refusal)
+}
+
+// Connections were closed while the refusals of the calls that a stop cuts off were written.
+func TestCutConnectionsAreClosedAfterTheirRefusals(t *testing.T) {
+	sent := make(chan struct{})
+	daemon := startHandoverDaemon(t, executorFunc(func(ctx context.Context, call *ports.Call, _ ports.AnswerSink) outcome.Result {
+		call.SendGate.Send(time.Now())
+		close(sent)
+		<-ctx.Done()
+		return refusedBy(ctx, outcome.Unknown)
+	}))
+	daemon.dialect = slowRefusals{daemon.dialect}
+	go func() {
+		<-sent
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = daemon.Stop(ctx)
+	}()
+	response := daemon.dial(t).exchange()
+	if run := response.Header.Get(headerRun); response.StatusCode != http.StatusGatewayTimeout || run != string(outcome.Unknown) {
+		t.Errorf("status %d, run %q", response.StatusCode, run)
+	}
+}
+
+// The answer of a run with an idempotency key is recorded though its relay stops.
+func TestRunWithKeyOutlivesTheStopOfItsRelay(t *testing.T) {
+	called, ended := make(chan struct{}), make(chan error, 1)
+	runs := executorFunc(func(ctx context.Context, call *ports.Call, _ ports.AnswerSink) outcome.Result {
+		call.SendGate.Send(time.Now())
+		close(called)
+		select {
+		case <-ctx.Done():
+		case <-time.After(500 * time.Millisecond):
+		}
+		ended <- context.Cause(ctx)
+		return outcome.Result{End: outcome.Ran}
+	})
+	late, serving := startHandoverDaemon(t, runs), startHandoverDaemon(t, runs)
+	serving.offerTo(late)
+	late.makeLate()
+	conn := late.dial(t)
+	request := newRequest(t, http.MethodPost, "http://callers/services/registry/x", "body")
+	request.Header.Set(headerIdempotencyKey, "k")
+	if err := request.Write(conn.conn); err != nil {
+		t.Fatal(err)
+	}
+	<-called
+	late.AnnounceStop(time.Now().Add(200 * time.Millisecond))
+	if err := <-ended; err != nil {
+		t.Errorf("the run ended: %v", err)
+	}
+}
+
+// A call whose run took a while to end was counted at each look at the calls in progress.
+func TestCallThatIsCutIsCountedOnce(t *testing.T) {
+	listener, server, scope := newTestServer(t, executorFunc(func(ctx context.Context, call *ports.Call, _ ports.AnswerSink) outcome.Result {
+		call.SendGate.Send(time.Now())
+		<-ctx.Done()
+		time.Sleep(3 * cutCheckInterval)
+		return refusedBy(ctx, outcome.Unknown)
+	}))
+	defer close(server.stopped)
+	server.recordLengths(time.Millisecond)
+	server.AnnounceStop(time.Now().Add(200 * time.Millisecond))
+	send(t, newRequest(t, http.MethodPost, listener.URL+"/services/registry/x", ""))
+	for _, counter := range scope.Snapshot().Counters() {
+		if counter.Name() == "callers.calls_cut" && counter.Value() != 1 {
+			t.Errorf("counted %d times", counter.Value())
+		}
+	}
+}
+
+// A call that was cut off while it waited for a server was refused as not run, without a time
+// to retry after.
+func TestCallThatIsCutUnsentMayBeRetried(t *testing.T) {
+	called := make(chan struct{})
+	daemon := startHandoverDaemon(t, executorFunc(func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) outcome.Result {
+		close(called)
+		return waitUntilRefused(ctx, call, sink)
+	}))
+	go func() {
+		<-called
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = daemon.Stop(ctx)
+	}()
+	response := daemon.dial(t).exchange()
+	if response.Header.Get(headerRun) != string(outcome.NotRun) || response.Header.Get(headerRetryAfter) == "" {
+		t.Errorf("got %v", response.Header)
+	}
+}
