A relay answers only after a whole answer, and estimates look at open calls at times

The relay now keeps the beginning, the size and the last bytes of the last answer, and answers only if none came or the last one is whole by its own head and doesn't close the connection. Its times don't step with the time of day, and count from the first part of a request.

What runs is now summed up per kind every 50 ms. A stop starts no replacement of a run for a call that must not be sent any more, and answers calls whose head has not left right before the cut, whether or not their answer has begun.

TestRelayAnswersOnlyAfterWholeAnswer is new; the package's tests pass with the race detector.

--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -172,7 +172,7 @@
 		return
 	}
 	s.countRefusal(result.Refusal)
-	if sink.headSent {
+	if sink.headSent.Load() {
 		s.recordCutAnswer(r, call, sink, result.Refusal)
 		abortAnswer(r)
 	}
--- a/internal/adapters/callerhttp/opencalls.go
+++ b/internal/adapters/callerhttp/opencalls.go
@@ -12,6 +12,9 @@
 	"hawthornstream/internal/ports"
 )
 
+// runningInterval is the time between two looks at all calls in progress for estimates.
+const runningInterval = 50 * time.Millisecond
+
 // callKind are the calls that are expected to take as long as each other.
 type callKind struct {
 	service ports.ServiceName
@@ -23,8 +26,9 @@
 	*ports.Call
 	gate ports.SendGate
 	sink *answerSink
-	// ctx is the context of the caller's request, and refuse ends that of the execution.
-	ctx    context.Context
+	// ctx is the context of the caller's request, and refuse ends that of the execution
+	ctx context.Context
+	// with a cause; only its first call has an effect.
 	refuse context.CancelCauseFunc
 	// takenInStop says that the daemon, or the one that relays the connection, was known to
 	// stop when the call was taken.
@@ -48,6 +52,9 @@
 	mu      sync.Mutex
 	calls   map[*openCall]struct{}
 	lengths *gracefulstop.Lengths[callKind]
+	// running is how long the calls in progress had run at runningAt.
+	running   map[callKind]gracefulstop.Running
+	runningAt time.Time
 }
 
 func newOpenCalls() *openCalls {
@@ -99,12 +106,26 @@
 	if !ok {
 		return nil
 	}
+	estimate.IncludeRunning(o.runningLocked(now)[kind], units)
+	return &estimate
+}
+
+// runningLocked returns how long the calls of each kind have run, as of runningInterval ago at
+// most. The caller holds the mutex.
+func (o *openCalls) runningLocked(now time.Time) map[callKind]gracefulstop.Running {
+	if now.Sub(o.runningAt) < runningInterval {
+		return o.running
+	}
+	o.running, o.runningAt = make(map[callKind]gracefulstop.Running), now
 	for open := range o.calls {
-		if sentAt, wasSent := open.gate.SentAt(); wasSent && kindOf(open.Call) == kind {
-			estimate.IncludeRunning(units, now.Sub(sentAt), unitsOf(open.Call))
+		if sentAt, wasSent := open.gate.SentAt(); wasSent {
+			kind := kindOf(open.Call)
+			running := o.running[kind]
+			running.Include(unitsOf(open.Call), now.Sub(sentAt))
+			o.running[kind] = running
 		}
 	}
-	return &estimate
+	return o.running
 }
 
 // unsorted returns the calls in progress.
--- a/internal/adapters/callerhttp/relay.go
+++ b/internal/adapters/callerhttp/relay.go
@@ -54,14 +54,14 @@
 	// refusal returns what to send to the caller when the daemon has ended the connection;
 	// nil for nothing.
 	refusal func(turn *relayTurn, readErr error) []byte
-	turn    relayTurn
+	turn    *relayTurn
 	// deadlineSetAt is when the caller's write deadline was last set.
 	deadlineSetAt time.Time
 }
 
 // run relays until both directions have ended, and closes both connections.
 func (r *relay) run() {
-	r.turn.recordAnswer(time.Now())
+	r.turn = newRelayTurn()
 	var requests sync.WaitGroup
 	requests.Go(r.relayRequests)
 	r.relayAnswers()
@@ -81,7 +81,7 @@
 			closeWithReset(r.peer)
 			return
 		}
-		r.turn.recordRequest(time.Now())
+		r.turn.recordRequest()
 		if _, err := r.peer.Write(buffer[:n]); err != nil {
 			// The daemon has closed or lost the connection; relayAnswers passes on what
 			// it has sent before.
@@ -99,7 +99,7 @@
 	for {
 		n, readErr := r.peer.Read(buffer[:])
 		if n > 0 {
-			r.turn.recordAnswer(time.Now())
+			r.turn.recordAnswer(buffer[:n])
 		}
 		if n > 0 && !r.writeToCaller(buffer[:n]) {
 			closeWithReset(r.peer)
@@ -122,7 +122,7 @@
 
 // endAnswers ends the caller's connection after the daemon's has ended with readErr.
 func (r *relay) endAnswers(readErr error) {
-	refusal := r.refusal(&r.turn, readErr)
+	refusal := r.refusal(r.turn, readErr)
 	if refusal == nil && !errors.Is(readErr, io.EOF) || refusal != nil && !r.writeToCaller(refusal) {
 		closeWithReset(r.caller)
 		return
--- a/internal/adapters/callerhttp/relayloss.go
+++ b/internal/adapters/callerhttp/relayloss.go
@@ -1,6 +1,7 @@
 package callerhttp
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -27,29 +28,79 @@
 	relayEndVanished = "vanished"
 )
 
-// relayTurn says whose turn it is on a relayed connection. It is safe for concurrent use.
+// relayTurn says whose turn it is on a relayed connection.
 type relayTurn struct {
-	// answeredAt is when the connection began or the peer last sent something, requestAt when
-	// the caller's bytes were last passed on after that, both in nanoseconds since the Unix
-	// epoch; requestAt is zero if it is the caller's turn.
+	start time.Time
+	// answeredAt is when the peer last sent something, and requestAt when the first bytes of the
+	// caller were passed on after that, both in nanoseconds since start; requestAt is zero if it
+	// is the caller's turn.
 	answeredAt, requestAt atomic.Int64
+	// answer is the last answer of the peer. Only the goroutine that relays answers uses it.
+	answer relayedAnswer
 }
 
-func (t *relayTurn) recordAnswer(now time.Time) {
-	t.requestAt.Store(0)
-	t.answeredAt.Store(now.UnixNano())
+func newRelayTurn() *relayTurn {
+	return &relayTurn{start: time.Now().Add(-1)}
 }
 
-func (t *relayTurn) recordRequest(now time.Time) {
-	t.requestAt.Store(now.UnixNano())
+func (t *relayTurn) recordAnswer(part []byte) {
+	if t.requestAt.Swap(0) > 0 {
+		t.answer = relayedAnswer{head: t.answer.head[:0], end: t.answer.end[:0]}
+	}
+	t.answer.add(part)
+	t.answeredAt.Store(int64(time.Since(t.start)))
+}
+
+func (t *relayTurn) recordRequest() {
+	t.requestAt.CompareAndSwap(0, int64(time.Since(t.start)))
 }
 
 // unanswered returns how long a request waits for the first byte of its answer, and how long
-// the connection was idle before the last part of the request. It reports false if nothing
-// waits.
-func (t *relayTurn) unanswered(now time.Time) (waits, idleBefore time.Duration, ok bool) {
-	requestAt := t.requestAt.Load()
-	return time.Duration(now.UnixNano() - requestAt), time.Duration(requestAt - t.answeredAt.Load()), requestAt > 0
+// the connection was idle before it. It reports false if nothing waits: what the caller sent
+// after the beginning of an answer may belong to the request before.
+func (t *relayTurn) unanswered() (waits, idleBefore time.Duration, ok bool) {
+	requestAt := time.Duration(t.requestAt.Load())
+	waits, idleBefore = time.Since(t.start)-requestAt, requestAt-time.Duration(t.answeredAt.Load())
+	return waits, idleBefore, requestAt > 0 && t.answer.isFollowed()
+}
+
+// maxRelayedHead is the longest head of an answer that is looked at, in bytes.
+const maxRelayedHead = 2 << 10
+
+// lastChunk ends a body with chunks and without trailers.
+const lastChunk = "\r\n0\r\n\r\n"
+
+// relayedAnswer is what is kept of an answer to tell whether it is whole.
+type relayedAnswer struct {
+	head []byte
+	size int64
+	// end are its last bytes.
+	end []byte
+}
+
+func (a *relayedAnswer) add(part []byte) {
+	a.head = append(a.head, part[:min(len(part), maxRelayedHead-len(a.head))]...)
+	a.size += int64(len(part))
+	a.end = append(a.end, part[max(0, len(part)-len(lastChunk)):]...)
+	a.end = append(a.end[:0], a.end[max(0, len(a.end)-len(lastChunk)):]...)
+}
+
+// isFollowed reports whether the answer, if there is one, is known to be whole and not the last
+// one on its connection.
+func (a *relayedAnswer) isFollowed() bool {
+	if a.size == 0 {
+		return true
+	}
+	head, _, _ := bytes.Cut(a.head, []byte("\r\n\r\n"))
+	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(a.head)), nil)
+	if err != nil || response.Close {
+		return false
+	}
+	_ = response.Body.Close()
+	if response.ContentLength < 0 {
+		return len(response.TransferEncoding) > 0 && string(a.end) == lastChunk
+	}
+	return a.size == int64(len(head)+len("\r\n\r\n"))+response.ContentLength
 }
 
 // relayEnd returns how a peer ended a connection on which a request waits, by the error of
@@ -82,7 +133,7 @@
 // connection, if the peer may not have read the request or goes on, and if only the peer can
 // encrypt an answer. A peer that goes on answers what it has read, also before it has read all.
 func (h *handover) refusalOfLostRequest(peer handoverPeer, turn *relayTurn, readErr error) []byte {
-	waits, idleBefore, ok := turn.unanswered(time.Now())
+	waits, idleBefore, ok := turn.unanswered()
 	if !ok || errors.Is(readErr, net.ErrClosed) {
 		return nil
 	}
--- a/internal/adapters/callerhttp/relayloss_test.go
+++ b/internal/adapters/callerhttp/relayloss_test.go
@@ -112,3 +112,30 @@
 	}
 	return strings.Join(ends, " ")
 }
+
+// A refusal of the relaying daemon must not become a part of an answer, nor follow the last one.
+func TestRelayAnswersOnlyAfterWholeAnswer(t *testing.T) {
+	for answer, want := range map[string]bool{
+		"":                              true,
+		"HTTP/1.1 200 OK\r\nContent-Le": false,
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no":                                                    false,
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok":                                                   true,
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok":                              false,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n":                                 false,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n":                        true,
+		"HTTP/1.1 200 OK\r\n\r\nup to the end":                                                             false,
+		"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxRelayedHead) + "\r\nContent-Length: 2\r\n\r\nok": false,
+	} {
+		for _, size := range []int{1, len(answer)} {
+			turn := newRelayTurn()
+			turn.recordRequest()
+			for rest := []byte(answer); len(rest) > 0; rest = rest[min(size, len(rest)):] {
+				turn.recordAnswer(rest[:min(size, len(rest))])
+			}
+			turn.recordRequest()
+			if _, _, got := turn.unanswered(); got != want {
+				t.Errorf("%q: a request waits after it: %v", answer[:min(len(answer), 80)], got)
+			}
+		}
+	}
+}
--- a/internal/adapters/callerhttp/sink.go
+++ b/internal/adapters/callerhttp/sink.go
@@ -37,7 +37,7 @@
 	// status and header are those of Begin. headSent is true once they were sent.
 	status   int
 	header   ports.Header
-	headSent bool
+	headSent atomic.Bool
 	// bytesSent is the number of bytes of the body that were sent.
 	bytesSent int64
 	// deadlineSetAt is when the write deadline was last set.
@@ -89,10 +89,9 @@
 
 // sendHead sends the status and header, unless they were sent.
 func (s *answerSink) sendHead() {
-	if s.headSent {
+	if s.headSent.Swap(true) {
 		return
 	}
-	s.headSent = true
 	target := s.writer.Header()
 	for name, values := range s.header {
 		target[name] = values
--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -172,7 +172,7 @@
 	if _, isStopping := s.cutAt.get(); !isStopping && call.OutlivesCaller() {
 		return
 	}
-	if outlook.UntilCut <= cutAnswerMargin && !call.sink.Begun() && call.ctx.Err() == nil {
+	if outlook.UntilCut <= cutAnswerMargin && !call.sink.headSent.Load() && call.ctx.Err() == nil {
 		s.callsCut.Inc(call.taken(), "unanswered")
 		call.refuse(newCutRefusal())
 	}
--- a/internal/app/execution/try.go
+++ b/internal/app/execution/try.go
@@ -127,7 +127,7 @@
 	}
 	state := r.failedTry(ports.RunResult{}, r.begun || r.call.Stream)
 	state.TimeLeft = r.call.Deadline.Sub(now)
-	if !retry.MayReplaceSilent(state) {
+	if !retry.MayReplaceSilent(state) || r.call.SendGate.IsClosed() {
 		e.reporter.silentTryKept(r.call, silence, keptNotAllowed)
 		return nil
 	}
--- a/internal/app/lifecycle/requests.go
+++ b/internal/app/lifecycle/requests.go
@@ -9,8 +9,7 @@
 
 // HandleSignals requests the stop upon the first signal, and its end at once upon an
 // interrupt during the stop. Another signal during a stop limits it if it was planned, and
-// changes nothing else. It returns when
-// the channel is closed.
+// changes nothing else. It returns when the channel is closed.
 func (m *Manager) HandleSignals(signals <-chan os.Signal) {
 	for received := range signals {
 		request := gracefulstop.RequestStop
--- a/internal/core/gracefulstop/lengths.go
+++ b/internal/core/gracefulstop/lengths.go
@@ -36,12 +36,25 @@
 	Longest time.Duration
 }
 
-// IncludeRunning raises the longest time by that of a call of the same kind, with an answer of
-// runningUnits, which has not ended yet: the calls that have ended tell late that others take
-// longer.
-func (e *Estimate) IncludeRunning(units int, sinceSent time.Duration, runningUnits int) {
-	part := min(1, float64(max(units, 1))/float64(max(runningUnits, 1)))
-	e.Longest = max(e.Longest, time.Duration(part*float64(sinceSent)))
+// Running is how long calls of one kind have run that have not ended yet: the calls that have
+// ended tell late that others take longer.
+type Running struct {
+	longest time.Duration
+	// slowest is the longest time per unit of the answer.
+	slowest time.Duration
+}
+
+// Include adds a call that was sent that long ago.
+func (r *Running) Include(units int, sinceSent time.Duration) {
+	r.longest = max(r.longest, sinceSent)
+	r.slowest = max(r.slowest, sinceSent/time.Duration(max(units, 1)))
+}
+
+// IncludeRunning raises the longest time of a call whose answer has so many units to that of the
+// calls that run, larger ones in proportion.
+func (e *Estimate) IncludeRunning(running Running, units int) {
+	ofPace := float64(running.slowest) * float64(max(units, 1))
+	e.Longest = max(e.Longest, time.Duration(min(ofPace, float64(running.longest))))
 }
 
 type recordedLength struct {
--- a/internal/core/gracefulstop/taking_test.go
+++ b/internal/core/gracefulstop/taking_test.go
@@ -58,14 +58,13 @@
 	expect(0, "question", 1000, Estimate{}, false)
 	record(time.Second, "draft", 5, flooded)
 	expect(time.Second, "draft", 1000, Estimate{Wait: calm, Longest: 1010 * flooded}, true)
-	running, _ := lengths.Estimate(start.Add(time.Second), "draft", 1000)
-	running.IncludeRunning(1000, 8*time.Second, 2000)
-	if running.Longest != 1010*flooded {
-		t.Errorf("longest %v beside a call of twice the size that runs for 8 s", running.Longest)
-	}
-	running.IncludeRunning(1000, 8*time.Second, 500)
-	if running.Longest != 8*time.Second {
-		t.Errorf("longest %v beside a smaller call that runs for 8 s", running.Longest)
+	for runningUnits, want := range map[int]time.Duration{2000: 1010 * flooded, 500: 8 * time.Second} {
+		var running Running
+		running.Include(runningUnits, 8*time.Second)
+		estimate, _ := lengths.Estimate(start.Add(time.Second), "draft", 1000)
+		if estimate.IncludeRunning(running, 1000); estimate.Longest != want {
+			t.Errorf("longest %v beside a call of %d that runs for 8 s", estimate.Longest, runningUnits)
+		}
 	}
 	for range maxLengths {
 		record(2*time.Second, "draft", 0, flooded)
--- a/internal/ports/sendgate.go
+++ b/internal/ports/sendgate.go
@@ -50,6 +50,11 @@
 	return g.state.CompareAndSwap(gateWaiting, gateClosed) || g.state.Load() == gateClosed
 }
 
+// IsClosed reports whether further tries must not be sent.
+func (g *SendGate) IsClosed() bool {
+	return g != nil && g.closing.Load()
+}
+
 // SentAt returns when the call was sent, and false while it waits.
 func (g *SendGate) SentAt() (time.Time, bool) {
 	sent := g.state.Load()
