--- a/testbench/soak/soak_test.go
+++ b/testbench/soak/soak_test.go
@@ -75,12 +75,13 @@
 
 // Stops cut off calls that had come after their announcement and could not end in time.
 func TestStopsCutNoCallsThatTheyCouldRefuse(t *testing.T) {
-	for _, seed := range []uint64{7201, 7202} {
+	// Stops of relaying daemons failed with seed 7301.
+	for seed, late := range map[uint64]int{7201: 0, 7202: 0, 7301: 3} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			runSoak(t, Options{
 				Seed: seed, Daemons: 4, Callers: 40, ServersPerService: 3, FaultDuration: 8 * time.Second,
-				PlannedStopsOnly: true, CutStops: true,
+				LateDaemons: late, PlannedStopsOnly: true, CutStops: true,
 			})
 		})
 	}
