--- a/internal/adapters/callerhttp/relayreport_test.go
+++ b/internal/adapters/callerhttp/relayreport_test.go
@@ -149,13 +149,13 @@
 			idle.offerTo(late)
 			late.makeLate()
 			conn := late.dial(t)
-			late.waitForRelay(t)
+			waitUntil(t, "a connection is relayed", func() bool { return len(late.handover.relaysByPeer.addresses()) > 0 })
 			// A signal in a planned stop moves its end.
 			late.AnnounceStop(time.Now().Add(time.Hour))
 			idle.waitForRelayStops(t, "closing", 1)
 			cutAt := time.Now().Add(tt.cutAfter)
 			late.AnnounceStop(cutAt)
-			idle.waitForCut(t, time.Minute)
+			waitUntil(t, "the cut is known", func() bool { return idle.knowsCut(time.Minute) })
 			if err := conn.conn.SetDeadline(cutAt); err != nil {
 				t.Fatal(err)
 			}
@@ -213,32 +213,28 @@
 	}
 }
 
-// waitForCut waits until a connection that the daemon took over is known to be cut off within
-// the time.
-func (d *handoverDaemon) waitForCut(t *testing.T, within time.Duration) {
+// waitUntil waits until the condition holds.
+func waitUntil(t *testing.T, condition string, holds func() bool) {
 	t.Helper()
-	conns := d.handover.takenOverConns
-	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		conns.mu.Lock()
-		for _, conn := range conns.conns {
-			if cutAt, ok := conn.cutAt.get(); ok && time.Until(cutAt) < within {
-				conns.mu.Unlock()
-				return
-			}
+	for deadline := time.Now().Add(5 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("never: %s", condition)
 		}
-		conns.mu.Unlock()
 	}
-	t.Fatal("no connection is known to be cut off")
 }
 
-// waitForRelay waits until the daemon relays a connection.
-func (d *handoverDaemon) waitForRelay(t *testing.T) {
-	t.Helper()
-	for deadline := time.Now().Add(5 * time.Second); len(d.handover.relaysByPeer.addresses()) == 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatal("no connection is relayed")
+// knowsCut reports whether a connection that the daemon took over is known to be cut off within
+// the time.
+func (d *handoverDaemon) knowsCut(within time.Duration) bool {
+	conns := d.handover.takenOverConns
+	conns.mu.Lock()
+	defer conns.mu.Unlock()
+	for _, conn := range conns.conns {
+		if cutAt, ok := conn.cutAt.get(); ok && time.Until(cutAt) < within {
+			return true
 		}
 	}
+	return false
 }
 
 // A peer was being asked for a connection when the stop began.
@@ -254,14 +250,14 @@
 // is in the state.
 func (d *handoverDaemon) waitForRelayStops(t *testing.T, state string, want int64) {
 	t.Helper()
-	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+	waitUntil(t, "connections are "+state, func() bool {
 		for _, counter := range d.scope.Snapshot().Counters() {
 			if counter.Name() == "callers.taken_over_connections_stopping" && counter.Tags()["relay"] == state && counter.Value() >= want {
-				return
+				return true
 			}
 		}
-	}
-	t.Fatalf("fewer than %d connections are %s", want, state)
+		return false
+	})
 }
 
 // sameAddresses is a connection whose addresses an earlier one had, too.
--- a/internal/adapters/callerhttp/stopping_test.go
+++ b/internal/adapters/callerhttp/stopping_test.go
@@ -83,71 +83,66 @@
 	}
 }
 
-// A stop that was ended early closed the connections of calls whose answer had not begun, at
-// first those that other daemons relay.
+// slowRefusals is a dialect that takes its time to write a refusal.
+type slowRefusals struct{ Dialect }
+
+func (d slowRefusals) WriteRefusal(w http.ResponseWriter, id ports.RequestID, refusal *outcome.Refusal) {
+	time.Sleep(3 * drainCheckInterval)
+	d.Dialect.WriteRefusal(w, id, refusal)
+}
+
+// A stop that was ended early closed the connections of calls whose answer had not begun, those
+// that other daemons relay at first, or while their refusals were written. Calls that had not
+// been sent were refused without a time to retry after.
 func TestCallsThatAStopCutsShortAreAnswered(t *testing.T) {
-	for _, isRelayed := range []bool{false, true} {
-		sent := make(chan struct{})
-		runs := executorFunc(func(ctx context.Context, call *ports.Call, _ ports.AnswerSink) outcome.Result {
-			call.SendGate.Send(time.Now())
-			close(sent)
+	for _, tt := range []struct {
+		name                string
+		isRelayed, isUnsent bool
+		wantRun             outcome.RunState
+		wantsRetry, isSlow  bool
+	}{
+		{name: "direct", wantRun: outcome.Unknown},
+		{name: "relayed", isRelayed: true, wantRun: outcome.Unknown},
+		{name: "slow refusal", isSlow: true, wantRun: outcome.Unknown},
+		{name: "unsent", isUnsent: true, wantRun: outcome.NotRun, wantsRetry: true},
+	} {
+		called := make(chan struct{})
+		execute := executorFunc(func(ctx context.Context, call *ports.Call, _ ports.AnswerSink) outcome.Result {
+			if !tt.isUnsent {
+				call.SendGate.Send(time.Now())
+			}
+			close(called)
 			<-ctx.Done()
-			return refusedBy(ctx, outcome.Unknown)
+			return refusedBy(ctx, tt.wantRun)
 		})
-		late, serving := startHandoverDaemon(t, runs), startHandoverDaemon(t, runs)
-		if isRelayed {
+		late, serving := startHandoverDaemon(t, execute), startHandoverDaemon(t, execute)
+		if tt.isRelayed {
 			serving.offerTo(late)
 			late.makeLate()
 		} else {
 			serving = late
 		}
+		if tt.isSlow {
+			serving.dialect = slowRefusals{serving.dialect}
+		}
 		stopped := make(chan error, 1)
 		go func() {
-			<-sent
+			<-called
 			ctx, cancel := context.WithCancel(context.Background())
 			cancel()
 			stopped <- serving.Stop(ctx)
 		}()
 		response := late.dial(t).exchange()
-		if run := response.Header.Get(headerRun); response.StatusCode != http.StatusGatewayTimeout || run != string(outcome.Unknown) {
-			t.Errorf("relayed %v: status %d, run %q", isRelayed, response.StatusCode, run)
+		run, retryAfter := response.Header.Get(headerRun), response.Header.Get(headerRetryAfter)
+		if response.StatusCode != http.StatusGatewayTimeout || run != string(tt.wantRun) || tt.wantsRetry && retryAfter == "" {
+			t.Errorf("%s: status %d, run %q, retry after %q", tt.name, response.StatusCode, run, retryAfter)
 		}
 		if err := <-stopped; err == nil {
-			t.Errorf("relayed %v: a stop that cut a call off reports no error", isRelayed)
+			t.Errorf("%s: a stop that cut a call off reports no error", tt.name)
 		}
 	}
 }
 
-// slowRefusals is a dialect that takes its time to write a refusal.
-type slowRefusals struct{ Dialect }
-
-func (d slowRefusals) WriteRefusal(w http.ResponseWriter, id ports.RequestID, refusal *outcome.Refusal) {
-	time.Sleep(3 * drainCheckInterval)
-	d.Dialect.WriteRefusal(w, id, refusal)
-}
-
-// Connections were closed while the refusals of the calls that a stop cuts off were written.
-func TestCutConnectionsAreClosedAfterTheirRefusals(t *testing.T) {
-	sent := make(chan struct{})
-	daemon := startHandoverDaemon(t, executorFunc(func(ctx context.Context, call *ports.Call, _ ports.AnswerSink) outcome.Result {
-		call.SendGate.Send(time.Now())
-		close(sent)
-		<-ctx.Done()
-		return refusedBy(ctx, outcome.Unknown)
-	}))
-	daemon.dialect = slowRefusals{daemon.dialect}
-	go func() {
-		<-sent
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel()
-		_ = daemon.Stop(ctx)
-	}()
-	response := daemon.dial(t).exchange()
-	if run := response.Header.Get(headerRun); response.StatusCode != http.StatusGatewayTimeout || run != string(outcome.Unknown) {
-		t.Errorf("status %d, run %q", response.StatusCode, run)
-	}
-}
-
 // The answer of a run with an idempotency key is recorded though its relay stops.
 func TestRunWithKeyOutlivesTheStopOfItsRelay(t *testing.T) {
 	called, ended := make(chan struct{}), make(chan error, 1)
@@ -195,23 +190,3 @@
 		}
 	}
 }
-
-// A call that was cut off while it waited for a server was refused as not run, without a time
-// to retry after.
-func TestCallThatIsCutUnsentMayBeRetried(t *testing.T) {
-	called := make(chan struct{})
-	daemon := startHandoverDaemon(t, executorFunc(func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) outcome.Result {
-		close(called)
-		return waitUntilRefused(ctx, call, sink)
-	}))
-	go func() {
-		<-called
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel()
-		_ = daemon.Stop(ctx)
-	}()
-	response := daemon.dial(t).exchange()
-	if response.Header.Get(headerRun) != string(outcome.NotRun) || response.Header.Get(headerRetryAfter) == "" {
-		t.Errorf("got %v", response.Header)
-	}
-}
