--- a/internal/adapters/callerhttp/opencalls.go
+++ b/internal/adapters/callerhttp/opencalls.go
@@ -15,7 +15,7 @@
 // runningInterval is the time between two looks at all calls in progress for estimates.
 const runningInterval = 50 * time.Millisecond
 
-// callKind are the calls that are expected to take as long as each other.
+// callKind identifies calls that are expected to take as long as each other.
 type callKind struct {
 	service ports.ServiceName
 	class   ports.ClassName
@@ -26,9 +26,9 @@
 	*ports.Call
 	gate ports.SendGate
 	sink *answerSink
-	// ctx is the context of the caller's request, and refuse ends that of the execution
-	ctx context.Context
-	// with a cause; only its first call has an effect.
+	// ctx is the context of the execution. refuse ends it with the *outcome.Refusal that the
+	// caller gets; only its first call has an effect.
+	ctx    context.Context
 	refuse context.CancelCauseFunc
 	// takenInStop says that the daemon, or the one that relays the connection, was known to
 	// stop when the call was taken.
