callerhttp: the field of the metric relayed_requests_lost has its name

relayTurn.unanswered asks whether a request waits for its answer, and handover.unanswered counted requests that were lost: two meanings of one word in one file. The field is now requestsLost, as the metric is called. No change of what it counts.

--- a/internal/adapters/callerhttp/handover.go
+++ b/internal/adapters/callerhttp/handover.go
@@ -93,11 +93,11 @@
 	relayStops *metrics.CounterVec
 	// refusedOfSilent counts the calls refused since the relaying daemon is silent.
 	refusedOfSilent tally.Counter
-	// unanswered counts the relayed requests whose connection the peer ended before a byte
+	// requestsLost counts the relayed requests whose connection the peer ended before a byte
 	// of the answer.
-	unanswered *metrics.CounterVec
-	logLimiter *logging.Limiter
-	logger     *log.Logger
+	requestsLost *metrics.CounterVec
+	logLimiter   *logging.Limiter
+	logger       *log.Logger
 }
 
 // newHandover returns the hand-over of a server, or nil if the settings or the platform
@@ -115,7 +115,7 @@
 		refused:         metrics.NewCounterVec(scope, "take_overs_refused", "reason"),
 		takenOver:       scope.Counter("connections_taken_over"),
 		relayStops:      metrics.NewCounterVec(scope, "taken_over_connections_stopping", "relay"),
-		unanswered:      metrics.NewCounterVec(scope, "relayed_requests_lost", "end"),
+		requestsLost:    metrics.NewCounterVec(scope, "relayed_requests_lost", "end"),
 		refusedOfSilent: scope.Counter("calls_refused_of_silent_relays"),
 		logLimiter:      server.logLimiter, logger: server.logger,
 		takenOverConns: newTakenOverConns(), relaysByPeer: newOpenRelays(),
--- a/internal/adapters/callerhttp/relayloss.go
+++ b/internal/adapters/callerhttp/relayloss.go
@@ -141,7 +141,7 @@
 	if !overload.MayHaveCrossedClose(idleBefore, waits) {
 		end = relayEnd(peer, readErr)
 	}
-	h.unanswered.Inc(end)
+	h.requestsLost.Inc(end)
 	if h.logLimiter.Allow("relayed-request-lost", end) {
 		h.logger.Warn().Str("event", "relayed-request-lost").Str("peer", string(peer.daemon)).Str("end", end).
 			Dur("sinceSent", waits).Dur("idleBefore", idleBefore).Msg("")
