gracefulstop: one test compares a planned stop and one before a kill

TestPlannedStopLeavesCallsItsWholeTime planned the stop that TestShortGracePeriodLeavesCallsTheirTime plans at its end, and compared the two. It is now the last check of that test, against literal times.

Mutation, reverted: PlanWithoutKill cuts calls as Plan does; the test fails ("planned: got CutAt 7.3s, want 15m0s").

--- a/internal/core/gracefulstop/gracefulstop_test.go
+++ b/internal/core/gracefulstop/gracefulstop_test.go
@@ -6,7 +6,8 @@
 )
 
 // Calls were cut off before the last sixth of a grace period under 4.2 s, and taken until
-// then where the announcement was as long.
+// then where the announcement was as long. A planned stop was cut off before a kill that doesn't
+// follow it.
 func TestShortGracePeriodLeavesCallsTheirTime(t *testing.T) {
 	for grace := time.Second; grace <= 20*time.Second; grace += 100 * time.Millisecond {
 		for _, announce := range []time.Duration{0, time.Second, 2500 * time.Millisecond, time.Minute} {
@@ -24,6 +25,10 @@
 	if got := Plan(limits); got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
+	want.CutAt = limits.Timeout
+	if got := PlanWithoutKill(limits); got != want {
+		t.Errorf("planned: got %+v, want %+v", got, want)
+	}
 }
 
 func TestWithoutKillCallsAreNotRefused(t *testing.T) {
@@ -55,13 +60,3 @@
 		}
 	}
 }
-
-// A planned stop was cut off before a kill that doesn't follow it.
-func TestPlannedStopLeavesCallsItsWholeTime(t *testing.T) {
-	limits := Limits{Timeout: 15 * time.Minute, KillAfter: 8 * time.Second, AnnouncePeriod: 2500 * time.Millisecond}
-	want := Plan(limits)
-	want.CutAt = limits.Timeout
-	if got := PlanWithoutKill(limits); got != want {
-		t.Errorf("got %+v, want %+v", got, want)
-	}
-}
