--- a/testbench/operationstest/stop_calls_test.go
+++ b/testbench/operationstest/stop_calls_test.go
@@ -1,6 +1,7 @@
 package operationstest
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -9,15 +10,13 @@
 	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/settings"
 	"hawthornstream/testbench/fleet"
+	"hawthornstream/testbench/standin"
 )
 
 // A planned stop cut calls off before a kill that doesn't follow it, and a stop that a kill
 // follows took calls that it cut off.
 func TestOnlySignalLimitsCallsOfPlannedStop(t *testing.T) {
-	const (
-		killAfter = 6 * time.Second
-		longRun   = 6 * time.Second
-	)
+	const killAfter, longRun = 6 * time.Second, 6 * time.Second
 	f := fleet.StartTest(t, fleet.Options{
 		Daemons:  3,
 		Services: []fleet.PlainService{{Name: "orders", Servers: 2}},
@@ -56,7 +55,7 @@
 	}
 	if got := <-long; got.Reason != string(outcome.ReasonStopping) || got.Run != string(outcome.NotRun) {
 		t.Errorf("after the signal, a call that outlasts the stop: %+v", got)
-	} else if ran := hasRun(f, got.Call.Operation); ran {
+	} else if slices.ContainsFunc(f.RunLog.Runs(), func(run standin.Run) bool { return run.Operation == got.Call.Operation }) {
 		t.Error("the call that was refused as not run has run")
 	}
 	if got := <-inPlan; !got.Complete {
@@ -66,13 +65,3 @@
 		t.Errorf("the planned stop ended with %v", err)
 	}
 }
-
-// hasRun reports whether a server has received the operation.
-func hasRun(f *fleet.Fleet, operation string) bool {
-	for _, run := range f.RunLog.Runs() {
-		if run.Operation == operation {
-			return true
-		}
-	}
-	return false
-}
