soak: shorter tables of calls that a stop may cut

The fields of a case stand in two lines with one comment, and slices.Repeat makes the known calls. All cases stay.

Mutation, reverted: a stop of any daemon excuses a call; TestOnlyCallsThatOutlastStopMayBeCut fails in "stop of another daemon".

--- a/testbench/soak/stopcuts_test.go
+++ b/testbench/soak/stopcuts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 )
@@ -15,14 +16,10 @@
 	for _, tt := range []struct {
 		name string
 		kind int
-		// sentAfter is the time from the signal to the call, and length that of its run, which
-		// begins at once.
-		sentAfter, length time.Duration
-		// endedAfter is the time from the signal to the end of the call.
-		endedAfter       time.Duration
-		knows, otherStop bool
-		isLate           bool
-		want             bool
+		// sentAfter and endedAfter are the times from the signal to the call and to its end, and
+		// length that of its run, which begins at once.
+		sentAfter, length, endedAfter  time.Duration
+		knows, otherStop, isLate, want bool
 	}{
 		{name: "sent before", kind: longs, sentAfter: -time.Second, length: longCall, endedAfter: cutAfter, want: true},
 		{name: "sent before, would have ended", kind: longs, sentAfter: -time.Second, length: time.Second, endedAfter: cutAfter},
@@ -65,10 +62,7 @@
 		c, checker, now := newStopCuts(), newChecker(), time.Now()
 		c.longParts = map[string]float64{callKinds[3].path: 0}
 		c.begin("d1").signalAt = now
-		for range minKnownCalls {
-			key := completions{"d1", callKinds[3].path}
-			c.completed[key] = append(c.completed[key], completion{at: now.Add(-time.Second)})
-		}
+		c.completed[completions{"d1", callKinds[3].path}] = slices.Repeat([]completion{{at: now.Add(-time.Second)}}, minKnownCalls)
 		sent := sentCall{call: call{id: "w", kind: callKinds[3], timeout: longCallTimeout}, address: "d1", sentAt: now.Add(time.Second)}
 		for i := range minAnnouncedCalls {
 			status, body := http.StatusOK, plainBody("w")
