A run with an idempotency key is answered before the cut of its relay

What callers saw: a plain call with an idempotency key, on a connection that a stopping daemon relays to a peer, got the end of its connection without an answer when the relay was cut.

Cause: the refusal of a call also ends its run. Where only the relay stops, the run is to go on for its record, so the call was left alone until the cut.

Change: right before the cut its caller gets "cut-by-stop", run state unknown, in place of the answer of the run, which goes on in its handler: its slot, memory and record are those of before. The sink drops what it brings for the caller. A call that waits to be sent is refused as before, and at the daemon's own cut the run still ends.

TestRunWithKeyOutlivesTheStopOfItsRelay now reads the answer, too.

--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -167,6 +167,9 @@
 	s.openCalls.add(open)
 	result := s.executeContained(ctx, call, sink)
 	s.openCalls.remove(open, result)
+	if sink.end() {
+		return
+	}
 	if result.Refusal == nil {
 		sink.finish()
 		return
--- a/internal/adapters/callerhttp/sink.go
+++ b/internal/adapters/callerhttp/sink.go
@@ -1,8 +1,11 @@
 package callerhttp
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,11 +24,19 @@
 	writeDeadlineInterval = 2 * time.Second
 )
 
+// errAnswerReplaced ends an answer whose caller has got another one.
+var errAnswerReplaced = errors.New("the caller has got another answer")
+
 // answerSink relays an answer to the caller and flushes each part. It sends the head with the
 // first part, so that a call that ends before gets another answer.
 type answerSink struct {
-	writer     http.ResponseWriter
-	controller *http.ResponseController
+	// mu guards the writer, the header of the answer and the two fields below it.
+	mu sync.Mutex
+	// replaced is true once the caller has got another answer, and ended once the execution
+	// has ended.
+	replaced, ended bool
+	writer          http.ResponseWriter
+	controller      *http.ResponseController
 	// setHeader sets the daemon's own fields of the answer's header.
 	setHeader func(http.Header)
 	conn      net.Conn
@@ -63,6 +74,11 @@
 
 // Write implements ports.AnswerSink.
 func (s *answerSink) Write(part []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.replaced {
+		return errAnswerReplaced
+	}
 	if err := s.extendDeadline(); err != nil {
 		return err
 	}
@@ -77,6 +93,37 @@
 	return nil
 }
 
+// replace sends the answer that write writes in place of that of the execution, which goes on.
+// It returns false if the caller has got a part of that one, or the execution has ended.
+func (s *answerSink) replace(write func(http.ResponseWriter)) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended || s.headSent.Swap(true) {
+		return false
+	}
+	s.replaced = true
+	answer := &bufferedAnswer{header: s.writer.Header()}
+	write(answer)
+	answer.header.Set("Connection", "close")
+	answer.header.Del("Keep-Alive")
+	answer.header.Set("Content-Length", strconv.Itoa(answer.body.Len()))
+	// Errors mean that the connection is closed already.
+	_ = s.extendDeadline()
+	s.writer.WriteHeader(answer.status)
+	_, _ = s.writer.Write(answer.body.Bytes())
+	_ = s.flush()
+	return true
+}
+
+// end records that the execution has ended, and reports whether its answer was replaced. The
+// writer is the caller's again.
+func (s *answerSink) end() (replaced bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	return s.replaced
+}
+
 // finish ends an answer whose last part was written. The HTTP server still sends the end of
 // the body.
 func (s *answerSink) finish() {
--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -150,8 +151,8 @@
 
 // giveUpBeforeCut ends a call that waits to be sent and could not end before its connection is
 // cut off, and right before the cut each call of which the caller has got nothing, so that it
-// gets an answer that says whether the call ran. Refusing a call ends its run: one that outlives
-// its caller goes on unless this daemon stops.
+// gets an answer that says whether the call ran. Where only the relay of the connection stops, a
+// run that outlives its caller goes on.
 func (s *Server) giveUpBeforeCut(call *openCall) {
 	cutAt, ok := s.cutAtOf(call.ctx)
 	if !ok {
@@ -169,12 +170,25 @@
 		call.refuse(newStoppingRefusal("the daemon stops before the call would end"))
 		return
 	}
-	if _, isStopping := s.cutAt.get(); !isStopping && call.OutlivesCaller() {
+	if outlook.UntilCut > cutAnswerMargin || call.sink.headSent.Load() || call.ctx.Err() != nil {
 		return
 	}
-	if outlook.UntilCut <= cutAnswerMargin && !call.sink.headSent.Load() && call.ctx.Err() == nil {
+	if ownCutAt, isStopping := s.cutAt.get(); call.OutlivesCaller() && (!isStopping || cutAt.Before(ownCutAt)) && !call.gate.Close() {
+		// Another caller that reads slowly must not delay this one's answer.
+		go s.answerBeforeEnd(call)
+		return
+	}
+	s.callsCut.Inc(call.taken(), "unanswered")
+	call.refuse(newCutRefusal())
+}
+
+// answerBeforeEnd answers a call that was sent and goes on without its caller.
+func (s *Server) answerBeforeEnd(call *openCall) {
+	refusal := newCutRefusal()
+	refusal.End, refusal.RetryAfter = outcome.Unknown, 0
+	if call.sink.replace(func(w http.ResponseWriter) { s.dialect.WriteRefusal(w, call.ID, refusal) }) {
 		s.callsCut.Inc(call.taken(), "unanswered")
-		call.refuse(newCutRefusal())
+		s.countRefusal(refusal)
 	}
 }
 
--- a/internal/adapters/callerhttp/stopping_test.go
+++ b/internal/adapters/callerhttp/stopping_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -143,10 +145,11 @@
 	}
 }
 
-// The answer of a run with an idempotency key is recorded though its relay stops.
+// The answer of a run with an idempotency key is recorded though its relay stops. Its caller got
+// no answer before the relay was cut.
 func TestRunWithKeyOutlivesTheStopOfItsRelay(t *testing.T) {
 	called, ended := make(chan struct{}), make(chan error, 1)
-	runs := executorFunc(func(ctx context.Context, call *ports.Call, _ ports.AnswerSink) outcome.Result {
+	runs := executorFunc(func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) outcome.Result {
 		call.SendGate.Send(time.Now())
 		close(called)
 		select {
@@ -154,7 +157,7 @@
 		case <-time.After(500 * time.Millisecond):
 		}
 		ended <- context.Cause(ctx)
-		return outcome.Result{End: outcome.Ran}
+		return answerWith("recorded")(ctx, call, sink)
 	})
 	late, serving := startHandoverDaemon(t, runs), startHandoverDaemon(t, runs)
 	serving.offerTo(late)
@@ -166,10 +169,24 @@
 		t.Fatal(err)
 	}
 	<-called
-	late.AnnounceStop(time.Now().Add(200 * time.Millisecond))
+	cutAt := time.Now().Add(200 * time.Millisecond)
+	late.AnnounceStop(cutAt)
+	if err := conn.conn.SetReadDeadline(cutAt); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(conn.reader, request)
+	if err != nil || response.StatusCode != http.StatusGatewayTimeout || response.Header.Get(headerRun) != string(outcome.Unknown) || !response.Close {
+		t.Errorf("the answer before the cut is %+v (%v)", response, err)
+	}
 	if err := <-ended; err != nil {
 		t.Errorf("the run ended: %v", err)
 	}
+	if err := conn.conn.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if rest, err := io.ReadAll(conn.reader); err != nil || strings.Contains(string(rest), "recorded") {
+		t.Errorf("after the answer came %q (%v)", rest, err)
+	}
 }
 
 // A call whose run took a while to end was counted at each look at the calls in progress.
