A relay answers for a peer that was killed and started again

What callers saw: a request on a connection that a peer served got the end of the connection without an answer, if the peer was killed and its successor accepted connections before the relay, which may be late, looked.

Cause: a peer counts as going on if something accepts connections at its address. That may be the next process there.

Change: where something accepts, the relay compares the incarnation that opened the latest session to this daemon with the one it had when the connection was handed over, for up to 1 s; the hello of a session names it already. Nothing is added to what daemons send. The connection that a peer ends which goes on so ends up to 1 s later; callers get nothing on it, as before.

No process was killed and started again in a test: a relay in time finds nobody listening.

--- a/internal/adapters/callerhttp/handover_test.go
+++ b/internal/adapters/callerhttp/handover_test.go
@@ -51,8 +51,8 @@
 	}
 	scope := tally.NewTestScope("", nil)
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	transport := &linkedTransport{}
-	server := New(s, source, executor, DefaultDialect(), NewHandoverTable(s, transport), scope, logger)
+	transport := &linkedTransport{incarnation: 1}
+	server := New(s, source, executor, DefaultDialect(), NewHandoverTable(s, transport, transport), scope, logger)
 	if err := server.handover.run(s.Listen, nil, server.serve); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/adapters/callerhttp/handovertable.go
+++ b/internal/adapters/callerhttp/handovertable.go
@@ -19,8 +19,9 @@
 // for each other, and decides which connections this daemon hands over. It implements
 // ports.HandoverOffers and ports.HandoverView and is safe for concurrent use.
 type HandoverTable struct {
-	domain    ports.FailureDomain
-	transport ports.PeerTransport
+	domain       ports.FailureDomain
+	transport    ports.PeerTransport
+	incarnations ports.PeerIncarnations
 
 	// mu guards everything below.
 	mu sync.Mutex
@@ -39,16 +40,19 @@
 
 // NewHandoverTable returns a table without offers, for daemons that reach each other by the
 // transport.
-func NewHandoverTable(s *settings.Settings, transport ports.PeerTransport) *HandoverTable {
+func NewHandoverTable(
+	s *settings.Settings, transport ports.PeerTransport, incarnations ports.PeerIncarnations,
+) *HandoverTable {
 	cores := s.Limits.Processors
 	if cores <= 0 {
 		cores = float64(runtime.GOMAXPROCS(0))
 	}
 	return &HandoverTable{
-		domain:    s.VM.FailureDomain,
-		transport: transport,
-		decision:  overload.NewHandover[handoverPeer](cores, s.Limits.MaxProcessorWait.Value()),
-		peers:     make(map[ports.DaemonID]handoverPeer),
+		domain:       s.VM.FailureDomain,
+		transport:    transport,
+		incarnations: incarnations,
+		decision:     overload.NewHandover[handoverPeer](cores, s.Limits.MaxProcessorWait.Value()),
+		peers:        make(map[ports.DaemonID]handoverPeer),
 	}
 }
 
--- a/internal/adapters/callerhttp/relayloss.go
+++ b/internal/adapters/callerhttp/relayloss.go
@@ -13,6 +13,7 @@
 
 	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/core/overload"
+	"hawthornstream/internal/ports"
 )
 
 // Ends of a relayed connection before the answer to a request, as counted.
@@ -21,13 +22,20 @@
 	// the request.
 	relayEndCrossed = "crossed"
 	// relayEndClosed means that a peer closed it that goes on, relayEndGone that the peer has
-	// ended.
+	// ended, also if it was started again since.
 	relayEndClosed = "closed"
 	relayEndGone   = "gone"
 	// relayEndVanished means that the peer doesn't respond any more.
 	relayEndVanished = "vanished"
 )
 
+const (
+	// restartNoticePeriod is the time that a peer which was started again has to open a session to
+	// this daemon: it reports its load as soon as it knows its failure domain.
+	restartNoticePeriod        = time.Second
+	restartNoticeCheckInterval = 20 * time.Millisecond
+)
+
 // relayTurn says whose turn it is on a relayed connection.
 type relayTurn struct {
 	start time.Time
@@ -104,20 +112,36 @@
 }
 
 // relayEnd returns how a peer ended a connection on which a request waits, by the error of
-// reading it.
-func relayEnd(peer handoverPeer, readErr error) string {
+// reading it. The connection was relayed to the incarnation that began it.
+func (h *handover) relayEnd(peer handoverPeer, began ports.Incarnation, readErr error) string {
 	switch {
 	case !errors.Is(readErr, io.EOF) && !errors.Is(readErr, syscall.ECONNRESET):
 		return relayEndVanished
-	case isListening(peer):
+	case isListening(peer) && !h.isStartedAgain(peer, began):
 		return relayEndClosed
 	default:
 		return relayEndGone
 	}
 }
 
-// isListening reports whether the peer still accepts connections. A process that ended doesn't,
-// though its kernel closes the connections in order.
+// isStartedAgain waits until the peer is known to be another incarnation than the given one, and
+// reports whether that was before restartNoticePeriod had passed.
+func (h *handover) isStartedAgain(peer handoverPeer, began ports.Incarnation) bool {
+	for deadline := time.Now().Add(restartNoticePeriod); ; time.Sleep(restartNoticeCheckInterval) {
+		current := h.table.incarnations.PeerIncarnation(peer.daemon)
+		switch {
+		case began == 0:
+			return false
+		case current != 0 && current != began:
+			return true
+		case time.Now().After(deadline):
+			return false
+		}
+	}
+}
+
+// isListening reports whether a process accepts connections at the peer's address. One that
+// ended doesn't, though its kernel closes the connections in order.
 func isListening(peer handoverPeer) bool {
 	conn, err := net.DialTimeout("tcp", peer.address, handoverDialTimeout)
 	if err != nil {
@@ -132,14 +156,16 @@
 // request may have run. It returns nil if no request waits or this daemon has ended the
 // connection, if the peer may not have read the request or goes on, and if only the peer can
 // encrypt an answer. A peer that goes on answers what it has read, also before it has read all.
-func (h *handover) refusalOfLostRequest(peer handoverPeer, turn *relayTurn, readErr error) []byte {
+func (h *handover) refusalOfLostRequest(
+	peer handoverPeer, began ports.Incarnation, turn *relayTurn, readErr error,
+) []byte {
 	waits, idleBefore, ok := turn.unanswered()
 	if !ok || errors.Is(readErr, net.ErrClosed) {
 		return nil
 	}
 	end := relayEndCrossed
 	if !overload.MayHaveCrossedClose(idleBefore, waits) {
-		end = relayEnd(peer, readErr)
+		end = h.relayEnd(peer, began, readErr)
 	}
 	h.unanswered.Inc(end)
 	if h.logLimiter.Allow("relayed-request-lost", end) {
--- a/internal/adapters/callerhttp/relayloss_test.go
+++ b/internal/adapters/callerhttp/relayloss_test.go
@@ -45,8 +45,8 @@
 	d.makeLate()
 }
 
-// The peer that served a relayed connection was killed: its callers' requests were passed on
-// and their connections closed without an answer.
+// The peer that served a relayed connection was killed, and perhaps started again at once: its
+// callers' requests were passed on and their connections closed without an answer.
 func TestRequestIsAnsweredWhenItsPeerEnds(t *testing.T) {
 	finish := func(conn *net.TCPConn) { _ = conn.Close() }
 	for name, c := range map[string]struct {
@@ -54,6 +54,8 @@
 		idle     time.Duration
 		want     string
 		wantLost string
+		// restarts says that the peer is known to be another process a while later.
+		restarts bool
 	}{
 		"ended": {
 			end:  func(listener net.Listener, conn *net.TCPConn) { _ = listener.Close(); finish(conn) },
@@ -65,6 +67,10 @@
 		},
 		"goes on after a reset": {end: func(_ net.Listener, conn *net.TCPConn) { closeWithReset(conn) }, wantLost: relayEndClosed},
 		"goes on":               {end: func(_ net.Listener, conn *net.TCPConn) { finish(conn) }, wantLost: relayEndClosed},
+		"ended and started again": {
+			end: func(_ net.Listener, conn *net.TCPConn) { finish(conn) }, restarts: true,
+			want: "HTTP/1.1 502 ", wantLost: relayEndGone,
+		},
 		"closed as idle": {
 			end: func(listener net.Listener, conn *net.TCPConn) { _ = listener.Close(); finish(conn) }, idle: 600 * time.Millisecond,
 			wantLost: relayEndCrossed,
@@ -81,7 +87,13 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			late := startHandoverDaemon(t, answerWith("late"))
-			startScriptedPeer(t, late, c.end)
+			startScriptedPeer(t, late, func(listener net.Listener, conn *net.TCPConn) {
+				c.end(listener, conn)
+				time.Sleep(100 * time.Millisecond)
+				if c.restarts {
+					late.transport.setIncarnation(2)
+				}
+			})
 			caller := late.dial(t)
 			caller.exchange()
 			time.Sleep(c.idle)
--- a/internal/adapters/callerhttp/relayreport_test.go
+++ b/internal/adapters/callerhttp/relayreport_test.go
@@ -26,6 +26,20 @@
 	handlers map[ports.MessageKind]func(ports.DaemonID, ports.Message)
 	// lost is the number of further messages that are lost.
 	lost int
+	// incarnation is that of each peer.
+	incarnation ports.Incarnation
+}
+
+func (l *linkedTransport) PeerIncarnation(ports.DaemonID) ports.Incarnation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.incarnation
+}
+
+func (l *linkedTransport) setIncarnation(incarnation ports.Incarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.incarnation = incarnation
 }
 
 func (l *linkedTransport) Handle(
--- a/internal/adapters/peer/accept_test.go
+++ b/internal/adapters/peer/accept_test.go
@@ -102,6 +102,9 @@
 		if err := s.receiveReply(); err != nil {
 			t.Errorf("session %d of incarnation %d: %v", hello.Session, hello.Incarnation, err)
 		}
+		if known := a.PeerIncarnation("x"); known != hello.Incarnation {
+			t.Errorf("the sender is known as incarnation %d, want %d", known, hello.Incarnation)
+		}
 	}
 }
 
--- a/internal/adapters/peer/latest_session.go
+++ b/internal/adapters/peer/latest_session.go
@@ -32,6 +32,13 @@
 	return true
 }
 
+// PeerIncarnation implements ports.PeerIncarnations.
+func (t *Transport) PeerIncarnation(peer ports.DaemonID) ports.Incarnation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.latestSessions[peer].incarnation
+}
+
 // isLatest reports whether no later session of the sender was accepted.
 func (t *Transport) isLatest(s *acceptedSession) bool {
 	t.mu.Lock()
--- a/internal/app/cluster/module.go
+++ b/internal/app/cluster/module.go
@@ -17,12 +17,16 @@
 	"hawthornstream/internal/settings"
 )
 
-// Module provides ports.Directory, ports.PeerTransport, ports.RevisionExchange
-// and ports.Leaver. It needs ports.VMList.
+// Module provides ports.Directory, ports.PeerTransport, ports.PeerIncarnations,
+// ports.RevisionExchange and ports.Leaver. It needs ports.VMList.
 var Module = fx.Module("cluster",
 	fx.Provide(
 		newIncarnation,
-		fx.Annotate(provideTransport, fx.As(new(Transport)), fx.As(new(ports.PeerTransport))),
+		fx.Annotate(provideTransport,
+			fx.As(new(Transport)),
+			fx.As(new(ports.PeerTransport)),
+			fx.As(new(ports.PeerIncarnations)),
+		),
 		fx.Annotate(provideManager,
 			fx.As(fx.Self()),
 			fx.As(new(ports.Directory)),
--- a/internal/ports/peer.go
+++ b/internal/ports/peer.go
@@ -53,6 +53,13 @@
 	OnSession(callback func(peer DaemonID, up bool))
 }
 
+// PeerIncarnations tells the starts of other daemons from each other.
+type PeerIncarnations interface {
+	// PeerIncarnation returns the incarnation that opened the latest session from the peer to
+	// this daemon; zero if unknown. It is safe for concurrent use.
+	PeerIncarnation(peer DaemonID) Incarnation
+}
+
 // ConfigurationSource provides the configuration in force.
 type ConfigurationSource interface {
 	// Current returns the configuration in force, or nil before the first one.
