A request whose body still arrives at the cut of a stop is answered

What callers saw: a request whose body had not arrived whole when a stop cut its connection, its own or that of a relay, got the end of the connection without an answer.

Cause: a stop ends calls in progress. A request that is still being read is none yet.

The answer is "stopping", not run: nothing of it was sent. The memory's account knows which requests are being received, so there is no second list of them.

Before: direct and relayed: i/o timeout at the cut; interrupted: unexpected EOF.

TestRequestThatArrivesWholeOnceCallsAreRefusedIsNotRun is a table now, with its two cases as they were, and checks the run state too.

--- a/internal/adapters/callerhttp/body.go
+++ b/internal/adapters/callerhttp/body.go
@@ -62,7 +62,7 @@
 	}
 	length := max(r.ContentLength, 0)
 	var refusal *outcome.Refusal
-	in.held, refusal = s.memory.reserve(in.Workspace, bytesPerCall+headerSize(r)+length+min(length, receiveWindow), func() {
+	in.held, refusal = s.memory.reserve(r.Context(), in.Workspace, bytesPerCall+headerSize(r)+length+min(length, receiveWindow), func() {
 		// An error means that the connection is closed already.
 		_ = controller.SetReadDeadline(time.Unix(1, 0))
 	})
@@ -78,6 +78,10 @@
 		s.refuseUnread(w, r)
 		return nil, refusal
 	}
+	if err != nil && in.held.wasCut() {
+		s.refuseUnread(w, r)
+		return nil, newStoppingRefusal("the daemon stops before the request has arrived")
+	}
 	if err != nil {
 		return nil, s.bodyReadRefusal(w, r, err)
 	}
--- a/internal/adapters/callerhttp/memory.go
+++ b/internal/adapters/callerhttp/memory.go
@@ -1,6 +1,7 @@
 package callerhttp
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -105,14 +106,20 @@
 	memory      *callerMemory
 	reservation *memory.Reservation
 	workspace   ports.WorkspaceID
-	// interrupt ends the reading of the request's body.
+	// ctx is the context of the request, and interrupt ends the reading of its body.
+	ctx       context.Context
 	interrupt func()
+	// isCut says that a stop has ended the reading of the body. It is guarded by the memory's
+	// mutex.
+	isCut bool
 }
 
 // reserve asks for memory for a request before its body is read. interrupt is called if
 // the request must make room for another one.
-func (m *callerMemory) reserve(workspace ports.WorkspaceID, bytes int64, interrupt func()) (*heldMemory, *outcome.Refusal) {
-	h := &heldMemory{memory: m, workspace: workspace, interrupt: interrupt}
+func (m *callerMemory) reserve(
+	ctx context.Context, workspace ports.WorkspaceID, bytes int64, interrupt func(),
+) (*heldMemory, *outcome.Refusal) {
+	h := &heldMemory{memory: m, workspace: workspace, ctx: ctx, interrupt: interrupt}
 	m.mu.Lock()
 	reservation, evicted, err := m.account.Reserve(time.Now(), workspace, bytes)
 	if err == nil {
@@ -193,6 +200,26 @@
 	h.memory.updateGauges(memory.KindReceiving, memory.KindCall, memory.KindAnswer)
 }
 
+// cutReceiving ends the reading of the bodies for whose requests shouldCut holds.
+func (m *callerMemory) cutReceiving(shouldCut func(context.Context) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, reservation := range m.account.Receiving() {
+		// A request that is still being received is interrupted before received returns.
+		if h := reservation.Owner.(*heldMemory); !h.isCut && shouldCut(h.ctx) {
+			h.isCut = true
+			h.interrupt()
+		}
+	}
+}
+
+// wasCut reports whether a stop has ended the reading of the request's body.
+func (h *heldMemory) wasCut() bool {
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	return h.isCut
+}
+
 func (m *callerMemory) interruptEvicted(evicted []*memory.Reservation) {
 	for _, reservation := range evicted {
 		reservation.Owner.(*heldMemory).interrupt()
--- a/internal/adapters/callerhttp/relayreport_test.go
+++ b/internal/adapters/callerhttp/relayreport_test.go
@@ -313,9 +313,26 @@
 }
 
 // A caller was still sending the body when calls began to be refused. The call might not end
-// before the connection does.
+// before the connection does. One that had not arrived whole at the cut got no answer.
 func TestRequestThatArrivesWholeOnceCallsAreRefusedIsNotRun(t *testing.T) {
-	for _, isRelayed := range []bool{false, true} {
+	const cutAfter = 300 * time.Millisecond
+	stopNow := func(s *Server) {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.Stop(ctx)
+	}
+	for name, c := range map[string]struct {
+		isRelayed bool
+		// cut leads to the cut of the connection, if the body doesn't arrive whole.
+		cut func(*Server)
+	}{
+		"direct":                 {},
+		"relayed":                {isRelayed: true},
+		"direct, not whole":      {cut: func(s *Server) { s.AnnounceStop(time.Now().Add(cutAfter)) }},
+		"relayed, not whole":     {isRelayed: true, cut: func(s *Server) { s.AnnounceStop(time.Now().Add(cutAfter)) }},
+		"not whole, interrupted": {cut: stopNow},
+	} {
+		isRelayed := c.isRelayed
 		late, idle := startHandoverDaemon(t, answerWith("late")), startHandoverDaemon(t, answerWith("idle"))
 		serving := late
 		if isRelayed {
@@ -331,21 +348,29 @@
 		for !serving.isReceiving() {
 			time.Sleep(time.Millisecond)
 		}
-		late.AnnounceStop(time.Time{})
-		late.RefuseCalls()
-		if isRelayed {
-			idle.waitForRelayStops(t, "refusing", 1)
-		}
-		if _, err := io.WriteString(conn.conn, "dy"); err != nil {
-			t.Fatal(err)
+		if c.cut != nil {
+			go c.cut(late.Server)
+			if err := conn.conn.SetReadDeadline(time.Now().Add(cutAfter)); err != nil {
+				t.Fatal(err)
+			}
+		} else {
+			late.AnnounceStop(time.Time{})
+			late.RefuseCalls()
+			if isRelayed {
+				idle.waitForRelayStops(t, "refusing", 1)
+			}
+			if _, err := io.WriteString(conn.conn, "dy"); err != nil {
+				t.Fatal(err)
+			}
 		}
 		response, err := http.ReadResponse(conn.reader, nil)
 		if err != nil {
-			t.Fatal(err)
+			t.Errorf("%s: %v", name, err)
+			continue
 		}
 		_ = response.Body.Close()
-		if response.StatusCode != http.StatusServiceUnavailable || !response.Close {
-			t.Errorf("relayed %v: status %d, closes %v", isRelayed, response.StatusCode, response.Close)
+		if run := response.Header.Get(headerRun); response.StatusCode != http.StatusServiceUnavailable || !response.Close || run != string(outcome.NotRun) {
+			t.Errorf("%s: status %d, closes %v, run %q", name, response.StatusCode, response.Close, run)
 		}
 	}
 }
--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -122,8 +122,8 @@
 	line.Msg("")
 }
 
-// watchCuts gives up calls in progress that can't end before their connections are cut off,
-// as long as such cuts are known.
+// watchCuts gives up calls in progress that can't end before their connections are cut off, and
+// requests that have not arrived by then, as long as such cuts are known.
 func (s *Server) watchCuts() {
 	if !s.watchingCuts.CompareAndSwap(false, true) {
 		return
@@ -135,6 +135,10 @@
 			for _, call := range s.openCalls.unsorted() {
 				s.giveUpBeforeCut(call)
 			}
+			s.memory.cutReceiving(func(ctx context.Context) bool {
+				cutAt, ok := s.cutAtOf(ctx)
+				return ok && time.Until(cutAt) <= cutAnswerMargin
+			})
 			select {
 			case <-s.stopped:
 				return
@@ -200,13 +204,14 @@
 	}
 }
 
-// cutCalls ends the calls in progress. It returns when those without an answer have got one
-// that says whether they ran, or after cutAnswerMargin.
+// cutCalls ends the calls in progress and the requests that still arrive. It returns when those
+// without an answer have got one that says whether they ran, or after cutAnswerMargin.
 func (s *Server) cutCalls() {
 	s.logCutCalls()
 	for _, call := range s.openCalls.unsorted() {
 		call.refuse(newCutRefusal())
 	}
+	s.memory.cutReceiving(func(context.Context) bool { return true })
 	ctx, cancel := context.WithTimeout(context.Background(), cutAnswerMargin)
 	defer cancel()
 	// Shutdown waits until the answers are sent. An error means that the time is over.
--- a/internal/core/memory/account.go
+++ b/internal/core/memory/account.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"hawthornstream/internal/ports"
@@ -132,6 +134,15 @@
 	a.heldByKind[kind] += delta
 }
 
+// Receiving returns the reservations of the requests that are being received, in any order.
+func (a *Account) Receiving() []*Reservation {
+	var receiving []*Reservation
+	for _, w := range a.workspaces {
+		receiving = slices.AppendSeq(receiving, maps.Keys(w.receiving))
+	}
+	return receiving
+}
+
 // Reserve decides on a request that is to be received. What was evicted to make room is
 // no longer held. It fails with *ExhaustedError.
 func (a *Account) Reserve(now time.Time, id ports.WorkspaceID, bytes int64) (r *Reservation, evicted []*Reservation, err error) {
