Calls that are cut with a relay are counted where they are served

What operators saw: a call whose answer was cut in the middle by the stop of the daemon that relays its connection was in `relays-cut` of that daemon only, which knows no calls: no request, no count.

Cause: the daemon that serves it doesn't stop, and logs and counts calls only at the cut of its own stop.

Each call is counted once, also if it is refused right before a cut and has not ended at it. `call-cut` has the field takenOver.

TestCallThatIsCutIsCountedOnce has the relayed case, and now requires the count where it allowed none.

--- a/internal/adapters/callerhttp/handler.go
+++ b/internal/adapters/callerhttp/handler.go
@@ -170,6 +170,7 @@
 	if sink.end() {
 		return
 	}
+	s.recordCutWithRelay(open, result)
 	if result.Refusal == nil {
 		sink.finish()
 		return
--- a/internal/adapters/callerhttp/opencalls.go
+++ b/internal/adapters/callerhttp/opencalls.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hawthornstream/internal/core/gracefulstop"
@@ -33,6 +34,8 @@
 	// takenInStop says that the daemon, or the one that relays the connection, was known to
 	// stop when the call was taken.
 	takenInStop bool
+	// isCutCounted says that the call is counted as cut off by a stop.
+	isCutCounted atomic.Bool
 	// estimate is how long the call takes, once isEstimated. Only watchCuts uses them.
 	estimate    *gracefulstop.Estimate
 	isEstimated bool
--- a/internal/adapters/callerhttp/sink.go
+++ b/internal/adapters/callerhttp/sink.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/ports"
 )
 
@@ -49,6 +50,8 @@
 	status   int
 	header   ports.Header
 	headSent atomic.Bool
+	// failedAt is when a part could not be sent; zero before.
+	failedAt time.Time
 	// bytesSent is the number of bytes of the body that were sent.
 	bytesSent int64
 	// deadlineSetAt is when the write deadline was last set.
@@ -79,6 +82,14 @@
 	if s.replaced {
 		return errAnswerReplaced
 	}
+	err := s.send(part)
+	if err != nil && s.failedAt.IsZero() {
+		s.failedAt = time.Now()
+	}
+	return err
+}
+
+func (s *answerSink) send(part []byte) error {
 	if err := s.extendDeadline(); err != nil {
 		return err
 	}
@@ -93,6 +104,15 @@
 	return nil
 }
 
+// cutShort returns since when the caller has got no more of an answer whose execution has ended
+// now, and false if it has got all of it or nothing.
+func (s *answerSink) cutShort(result outcome.Result) (time.Time, bool) {
+	if !s.failedAt.IsZero() {
+		return s.failedAt, true
+	}
+	return time.Now(), result.Refusal != nil && s.headSent.Load()
+}
+
 // replace sends the answer that write writes in place of that of the execution, which goes on.
 // It returns false if the caller has got a part of that one, or the execution has ended.
 func (s *answerSink) replace(write func(http.ResponseWriter)) bool {
--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -182,7 +182,7 @@
 		go s.answerBeforeEnd(call)
 		return
 	}
-	s.callsCut.Inc(call.taken(), "unanswered")
+	s.countCut(call, "unanswered")
 	call.refuse(newCutRefusal())
 }
 
@@ -191,7 +191,7 @@
 	refusal := newCutRefusal()
 	refusal.End, refusal.RetryAfter = outcome.Unknown, 0
 	if call.sink.replace(func(w http.ResponseWriter) { s.dialect.WriteRefusal(w, call.ID, refusal) }) {
-		s.callsCut.Inc(call.taken(), "unanswered")
+		s.countCut(call, "unanswered")
 		s.countRefusal(refusal)
 	}
 }
@@ -223,25 +223,53 @@
 
 // logCutCalls logs and counts the calls in progress, which are about to be cut off.
 func (s *Server) logCutCalls() {
-	now := time.Now()
 	for _, call := range s.openCalls.list() {
 		state := "waiting"
-		sentAt, wasSent := call.gate.SentAt()
+		_, wasSent := call.gate.SentAt()
 		switch {
 		case call.sink.Begun():
 			state = "answering"
 		case wasSent:
 			state = "running"
 		}
-		s.callsCut.Inc(call.taken(), state)
-		line := s.logger.Error().Str("event", "call-cut").Str("request", string(call.ID)).
-			Str("workspace", string(call.Workspace)).Str("service", string(call.Service)).
-			Str("class", string(call.Class)).Str("taken", call.taken()).Str("state", state).
-			Bool("repeatable", call.Repeatable || call.Resumable).
-			Dur("age", now.Sub(call.Arrived)).Dur("untilDeadline", call.Deadline.Sub(now))
-		if wasSent {
-			line = line.Dur("sinceSent", now.Sub(sentAt))
-		}
-		line.Msg("")
+		s.countCut(call, state)
+		s.logCut(call, state)
+	}
+}
+
+// recordCutWithRelay logs and counts a call that has ended, if the stop of the daemon that relays
+// its connection cut its answer off.
+func (s *Server) recordCutWithRelay(call *openCall, result outcome.Result) {
+	conn, takenOver := call.ctx.Value(takenOverKey{}).(*takenOverConn)
+	cutShortAt, wasCutShort := call.sink.cutShort(result)
+	if !takenOver || !wasCutShort || !call.sink.CallerGone() && context.Cause(call.ctx) != context.Canceled {
+		return
+	}
+	cutAt, relayStops := conn.cutAt.get()
+	if relayStops && cutAt.Sub(cutShortAt) <= cutAnswerMargin && s.countCut(call, "answering") {
+		s.logCut(call, "answering")
+	}
+}
+
+// countCut counts a call that a stop cuts off. It returns false if the call was counted before.
+func (s *Server) countCut(call *openCall, state string) bool {
+	if call.isCutCounted.Swap(true) {
+		return false
+	}
+	s.callsCut.Inc(call.taken(), state)
+	return true
+}
+
+func (s *Server) logCut(call *openCall, state string) {
+	now := time.Now()
+	_, takenOver := call.ctx.Value(takenOverKey{}).(*takenOverConn)
+	line := s.logger.Error().Str("event", "call-cut").Str("request", string(call.ID)).
+		Str("workspace", string(call.Workspace)).Str("service", string(call.Service)).
+		Str("class", string(call.Class)).Str("taken", call.taken()).Str("state", state).
+		Bool("repeatable", call.Repeatable || call.Resumable).Bool("takenOver", takenOver).
+		Dur("age", now.Sub(call.Arrived)).Dur("untilDeadline", call.Deadline.Sub(now))
+	if sentAt, wasSent := call.gate.SentAt(); wasSent {
+		line = line.Dur("sinceSent", now.Sub(sentAt))
 	}
+	line.Msg("")
 }
--- a/internal/adapters/callerhttp/stopping_test.go
+++ b/internal/adapters/callerhttp/stopping_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -189,21 +190,52 @@
 	}
 }
 
-// A call whose run took a while to end was counted at each look at the calls in progress.
+// A call whose run took a while to end was counted at each look at the calls in progress, one
+// that was cut with its relay in the middle of its answer never.
 func TestCallThatIsCutIsCountedOnce(t *testing.T) {
-	listener, server, scope := newTestServer(t, executorFunc(func(ctx context.Context, call *ports.Call, _ ports.AnswerSink) outcome.Result {
-		call.SendGate.Send(time.Now())
-		<-ctx.Done()
-		time.Sleep(3 * cutCheckInterval)
-		return refusedBy(ctx, outcome.Unknown)
-	}))
-	defer close(server.stopped)
-	server.recordLengths(time.Millisecond)
-	server.AnnounceStop(time.Now().Add(200 * time.Millisecond))
-	send(t, newRequest(t, http.MethodPost, listener.URL+"/services/registry/x", ""))
-	for _, counter := range scope.Snapshot().Counters() {
-		if counter.Name() == "callers.calls_cut" && counter.Value() != 1 {
-			t.Errorf("counted %d times", counter.Value())
+	for _, state := range []string{"unanswered", "answering"} {
+		isRelayed := state == "answering"
+		ended := make(chan struct{})
+		serving := startHandoverDaemon(t, executorFunc(func(ctx context.Context, call *ports.Call, sink ports.AnswerSink) outcome.Result {
+			defer close(ended)
+			call.SendGate.Send(time.Now())
+			if isRelayed && (sink.Begin(http.StatusOK, nil) != nil || sink.Write([]byte("part")) != nil) {
+				t.Error("the answer can't be written")
+			}
+			<-ctx.Done()
+			time.Sleep(3 * cutCheckInterval)
+			if isRelayed {
+				return outcome.Result{End: outcome.Unknown, Refusal: &outcome.Refusal{Reason: outcome.ReasonCallerGone, End: outcome.Unknown}}
+			}
+			return refusedBy(ctx, outcome.Unknown)
+		}))
+		late := serving
+		if isRelayed {
+			late = startHandoverDaemon(t, answerWith("late"))
+			serving.offerTo(late)
+			late.makeLate()
+		}
+		serving.recordLengths(time.Millisecond)
+		conn := late.dial(t)
+		if isRelayed {
+			waitUntil(t, "a connection is relayed", func() bool { return len(late.handover.relaysByPeer.addresses()) > 0 })
+		}
+		late.AnnounceStop(time.Now().Add(200 * time.Millisecond))
+		if err := newRequest(t, http.MethodPost, "http://callers/services/registry/x", "body").Write(conn.conn); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(200 * time.Millisecond)
+		_ = conn.conn.Close()
+		waitFor(t, ended, "the end of the call")
+		time.Sleep(cutCheckInterval)
+		var counted []string
+		for _, counter := range serving.scope.Snapshot().Counters() {
+			if counter.Name() == "callers.calls_cut" && counter.Value() > 0 {
+				counted = append(counted, fmt.Sprint(counter.Value(), " ", counter.Tags()["state"]))
+			}
+		}
+		if len(counted) != 1 || counted[0] != "1 "+state {
+			t.Errorf("%s: counted %v", state, counted)
 		}
 	}
 }
