A relay sees the end of a peer that closes its listening socket last

Callers saw: a request passed on to a peer that was killed got no answer, though the daemon that has its connection lives. TestRequestAtKilledPeerGetsAStatus failed in 2 of 7 runs of its package at load 25 to 38 ("no answer: unexpected EOF"), and the relay logged relayed-request-lost with end=closed.

Cause: the relay asks once, right after the connection has ended, whether the peer's address still accepts connections. The kernel closes the descriptors of a process that is killed one after the other, so that the listening socket may be closed after the relayed connection.

The relay now looks again for up to 1 s, after 20 ms and then twice as long each time, beside its look for another incarnation. What a caller of a peer that goes on sees comes up to 1 s later, as before this change.

The row "ended, its listening socket last" failed before: "counted as lost: closed, want gone". TestRequestAtKilledPeerGetsAStatus and the other tests of relays and stops of the package, 6 runs at load 30: passed.

--- a/internal/adapters/callerhttp/relayloss.go
+++ b/internal/adapters/callerhttp/relayloss.go
@@ -30,10 +30,13 @@
 )
 
 const (
-	// restartNoticePeriod is the time that a peer which was started again has to open a session to
-	// this daemon: it reports its load as soon as it knows its failure domain.
-	restartNoticePeriod        = time.Second
-	restartNoticeCheckInterval = 20 * time.Millisecond
+	// endNoticePeriod is the time in which the end of a peer's process is noticed: its kernel may
+	// close connections before the listening socket, and a peer that was started again reports
+	// its load to this daemon as soon as it knows its failure domain.
+	endNoticePeriod = time.Second
+	// firstEndCheck is the time until the second look at the peer; each further one takes twice
+	// as long.
+	firstEndCheck = 20 * time.Millisecond
 )
 
 // relayTurn says whose turn it is on a relayed connection.
@@ -112,31 +115,32 @@
 }
 
 // relayEnd returns how a peer ended a connection on which a request waits, by the error of
-// reading it. The connection was relayed to the incarnation that began it.
+// reading it.
 func (h *handover) relayEnd(peer handoverPeer, began ports.Incarnation, readErr error) string {
 	switch {
 	case !errors.Is(readErr, io.EOF) && !errors.Is(readErr, syscall.ECONNRESET):
 		return relayEndVanished
-	case isListening(peer) && !h.isStartedAgain(peer, began):
-		return relayEndClosed
-	default:
+	case h.hasEnded(peer, began):
 		return relayEndGone
+	default:
+		return relayEndClosed
 	}
 }
 
-// isStartedAgain waits until the peer is known to be another incarnation than the given one, and
-// reports whether that was before restartNoticePeriod had passed.
-func (h *handover) isStartedAgain(peer handoverPeer, began ports.Incarnation) bool {
-	for deadline := time.Now().Add(restartNoticePeriod); ; time.Sleep(restartNoticeCheckInterval) {
+// hasEnded reports whether the process ends, or is known to have been started again, within
+// endNoticePeriod. The connection was relayed to the incarnation that began it.
+func (h *handover) hasEnded(peer handoverPeer, began ports.Incarnation) bool {
+	deadline := time.Now().Add(endNoticePeriod)
+	for wait := firstEndCheck; ; wait *= 2 {
 		current := h.table.incarnations.PeerIncarnation(peer.daemon)
-		switch {
-		case began == 0:
-			return false
-		case current != 0 && current != began:
+		if began != 0 && current != 0 && current != began || !isListening(peer) {
 			return true
-		case time.Now().After(deadline):
+		}
+		left := time.Until(deadline)
+		if left <= 0 {
 			return false
 		}
+		time.Sleep(min(wait, left))
 	}
 }
 
--- a/internal/adapters/callerhttp/relayloss_test.go
+++ b/internal/adapters/callerhttp/relayloss_test.go
@@ -67,6 +67,13 @@
 		},
 		"goes on after a reset": {end: func(_ net.Listener, conn *net.TCPConn) { closeWithReset(conn) }, wantLost: relayEndClosed},
 		"goes on":               {end: func(_ net.Listener, conn *net.TCPConn) { finish(conn) }, wantLost: relayEndClosed},
+		"ended, its listening socket last": {
+			end: func(listener net.Listener, conn *net.TCPConn) {
+				finish(conn)
+				time.AfterFunc(200*time.Millisecond, func() { _ = listener.Close() })
+			},
+			want: "HTTP/1.1 502 ", wantLost: relayEndGone,
+		},
 		"ended and started again": {
 			end: func(_ net.Listener, conn *net.TCPConn) { finish(conn) }, restarts: true,
 			want: "HTTP/1.1 502 ", wantLost: relayEndGone,
