--- a/internal/adapters/callerhttp/relayloss_test.go
+++ b/internal/adapters/callerhttp/relayloss_test.go
@@ -53,16 +53,18 @@
 		answer, want, wantLost string
 		goesOn, isReset        bool
 		idle                   time.Duration
-		// restarts says that the peer is known to be another process a while later.
-		restarts bool
+		// restarts says that the peer is known to be another process a while later, closesLater
+		// that its listening socket is closed then.
+		restarts, closesLater bool
 	}{
-		"ended":                   {want: "HTTP/1.1 502 ", wantLost: relayEndGone},
-		"ended with a reset":      {isReset: true, want: "HTTP/1.1 502 ", wantLost: relayEndGone},
-		"goes on after a reset":   {goesOn: true, isReset: true, wantLost: relayEndClosed},
-		"goes on":                 {goesOn: true, wantLost: relayEndClosed},
-		"ended and started again": {goesOn: true, restarts: true, want: "HTTP/1.1 502 ", wantLost: relayEndGone},
-		"closed as idle":          {idle: 600 * time.Millisecond, wantLost: relayEndCrossed},
-		"answer begun":            {answer: begun, want: begun},
+		"ended":                            {want: "HTTP/1.1 502 ", wantLost: relayEndGone},
+		"ended with a reset":               {isReset: true, want: "HTTP/1.1 502 ", wantLost: relayEndGone},
+		"goes on after a reset":            {goesOn: true, isReset: true, wantLost: relayEndClosed},
+		"goes on":                          {goesOn: true, wantLost: relayEndClosed},
+		"ended, its listening socket last": {goesOn: true, closesLater: true, want: "HTTP/1.1 502 ", wantLost: relayEndGone},
+		"ended and started again":          {goesOn: true, restarts: true, want: "HTTP/1.1 502 ", wantLost: relayEndGone},
+		"closed as idle":                   {idle: 600 * time.Millisecond, wantLost: relayEndCrossed},
+		"answer begun":                     {answer: begun, want: begun},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -77,7 +79,10 @@
 					closeWithReset(conn)
 				}
 				_ = conn.Close()
-				time.Sleep(100 * time.Millisecond)
+				time.Sleep(200 * time.Millisecond)
+				if c.closesLater {
+					_ = listener.Close()
+				}
 				if c.restarts {
 					late.transport.setIncarnation(2)
 				}
