A stream's version is that of the process at its connection

Callers got streams of two software versions: a stream began at a server that had started again under its name with another version, was recorded at the version in the list, and went on at a server of that one after a break, within its answer or by its caller's resumption (ORDER).

Cause: what the list says of a name was taken for what runs at the other end of a connection. The object of a restarted server follows seconds later.

Change: when a stream begins over a connection that no load report confirms, the daemon asks for one over a new connection while it waits for the first event. The listed start confirms all connections up to that one, which is kept. Clocks, the lag of objects and what a killed server could have told play no part; no message or object changes.

--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -272,6 +272,11 @@
 	e.client.putOrCloseIdle(e.conn, e.maxIdleConnections)
 }
 
+// ConnectedAt returns when the connection of the exchange was opened.
+func (e *Exchange) ConnectedAt() time.Time {
+	return e.conn.tracked.createdAt
+}
+
 // Abort ends an exchange and closes its connection. It has no effect on an ended
 // exchange.
 func (e *Exchange) Abort() {
--- a/internal/app/dispatch/slot.go
+++ b/internal/app/dispatch/slot.go
@@ -6,6 +6,7 @@
 
 	core "hawthornstream/internal/core/dispatch"
 	"hawthornstream/internal/core/quarantine"
+	"hawthornstream/internal/core/streamorigin"
 	"hawthornstream/internal/ports"
 )
 
@@ -41,6 +42,11 @@
 	return s.grantDetails
 }
 
+// RecordUnlistedStart implements ports.Slot.
+func (s *slot) RecordUnlistedStart() {
+	s.server.SoftwareVersion = streamorigin.UnknownVersion
+}
+
 // Progress implements ports.Slot. The first call records the first byte.
 func (s *slot) Progress(ports.Cost) {
 	if s.firstByteSeen.Swap(true) {
--- a/internal/app/execution/executor_test.go
+++ b/internal/app/execution/executor_test.go
@@ -91,7 +91,8 @@
 func (s *fakeSlot) GrantDetails() ports.GrantDetails {
 	return ports.GrantDetails{Granter: "daemon-1", Waited: time.Second, CallsAhead: 2, ContendingWorkspaces: 3}
 }
-func (s *fakeSlot) Progress(ports.Cost) {}
+func (s *fakeSlot) Progress(ports.Cost)  {}
+func (s *fakeSlot) RecordUnlistedStart() {}
 
 func (s *fakeSlot) Release(ports.RunReport) {
 	s.broker.mu.Lock()
--- a/internal/app/execution/try.go
+++ b/internal/app/execution/try.go
@@ -240,6 +240,13 @@
 	return nil
 }
 
+// RecordUnlistedStart implements ports.RunSupervisor.
+func (t *try) RecordUnlistedStart() {
+	t.loop.mu.Lock()
+	defer t.loop.mu.Unlock()
+	t.slot.RecordUnlistedStart()
+}
+
 // RecordEvent implements ports.RunSupervisor.
 func (t *try) RecordEvent(id int) error {
 	r := t.loop
--- a/internal/app/sharing/slot.go
+++ b/internal/app/sharing/slot.go
@@ -54,6 +54,10 @@
 	return h.grantDetails
 }
 
+// RecordUnlistedStart implements ports.Slot. Servers of the own interface have no software
+// versions.
+func (h *heldSlot) RecordUnlistedStart() {}
+
 // Progress implements ports.Slot.
 func (h *heldSlot) Progress(cost ports.Cost) {
 	step := max(minProgressStep, int64(h.estimate)/2)
--- a/internal/core/streamorigin/decide.go
+++ b/internal/core/streamorigin/decide.go
@@ -40,6 +40,9 @@
 	DoubtSeveralVersions Doubt = "several-versions"
 	// DoubtNoVersion means that there is no server.
 	DoubtNoVersion Doubt = "no-version"
+	// DoubtServerRestarted means that the stream began at a server of which the list told
+	// another start.
+	DoubtServerRestarted Doubt = "server-restarted"
 )
 
 // Evidence is what a daemon knows about a stream that its caller resumes.
@@ -118,6 +121,9 @@
 		if e.Origin.Service != e.Service {
 			return Decision{Source: e.Source, Reason: outcome.ReasonSoftwareVersionGone}
 		}
+		if e.Origin.SoftwareVersion == UnknownVersion {
+			return Decision{Source: e.Source, Doubt: DoubtServerRestarted, Reason: outcome.ReasonStreamOriginUnknown}
+		}
 		return Decision{SoftwareVersion: e.Origin.SoftwareVersion, Source: e.Source}
 	}
 	version, doubt := e.Versions.singleVersion()
--- a/internal/core/streamorigin/decide_test.go
+++ b/internal/core/streamorigin/decide_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"hawthornstream/internal/core/outcome"
 )
@@ -31,6 +32,10 @@
 			Evidence{Service: "llm", Origin: v1, Source: SourceHome, Versions: VersionEvidence{IsRead: true, Listed: []string{"v2"}}},
 			Decision{SoftwareVersion: "v1", Source: SourceHome},
 		},
+		"begun at a restarted server": {
+			Evidence{Service: "llm", Origin: Origin{Service: "llm", SoftwareVersion: UnknownVersion}, Source: SourceOwn, Versions: only},
+			Decision{Source: SourceOwn, Doubt: DoubtServerRestarted, Reason: outcome.ReasonStreamOriginUnknown},
+		},
 		"the route leads to another service now": {
 			Evidence{Service: "other", Origin: v1, Source: SourceHome},
 			Decision{Source: SourceHome, Reason: outcome.ReasonSoftwareVersionGone},
@@ -65,3 +70,34 @@
 		}
 	}
 }
+
+// A server starts again as start 6, then as 7, while the list says 5 for up to two seconds. Streams
+// begin over a connection of each process; each is confirmed by reports over later connections.
+func TestStreamBeginsAtListedVersionOnlyOnConfirmedConnection(t *testing.T) {
+	second := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	cases := map[string]struct {
+		report      Confirmation
+		listed      int64
+		connectedAt time.Time
+		want        bool
+	}{
+		"never asked":                          {Confirmation{}, 5, second(1), false},
+		"connection of the listed process":     {Confirmation{5, second(2)}, 5, second(1), true},
+		"connection of the report":             {Confirmation{5, second(2)}, 5, second(2), true},
+		"connected after the report":           {Confirmation{5, second(2)}, 5, second(3), false},
+		"restarted, list behind":               {Confirmation{6, second(4)}, 5, second(3), false},
+		"restarted twice, list one start late": {Confirmation{7, second(6)}, 6, second(5), false},
+		"list has followed":                    {Confirmation{6, second(4)}, 6, second(3), true},
+		"start not told":                       {Confirmation{0, second(2)}, 0, second(1), false},
+	}
+	for name, c := range cases {
+		if got := c.report.Covers(c.listed, c.connectedAt); got != c.want {
+			t.Errorf("%s: got %v", name, got)
+		}
+	}
+	for start, want := range map[ServerStart]string{StartAsListed: "v1", StartOther: UnknownVersion, StartUnknown: UnknownVersion} {
+		if got := start.Version("v1"); got != want {
+			t.Errorf("start %s: got version %q", start, got)
+		}
+	}
+}
--- a/internal/core/streamorigin/start.go
+++ b/internal/core/streamorigin/start.go
@@ -1,5 +1,11 @@
 package streamorigin
 
+import "time"
+
+// UnknownVersion is the software version of a server that isn't the process in the list. No
+// server is listed with it, so that a stream that began there goes on nowhere.
+const UnknownVersion = "\x00unknown"
+
 // ServerStart is what a server's load report says of its start, against what the list says.
 type ServerStart string
 
@@ -30,7 +36,31 @@
 }
 
 // MayContinue reports whether a stream may go on at a server with the start. Without a report
-// its version in the list is believed, as it is where a stream begins.
+// its version in the list is believed.
 func (s ServerStart) MayContinue() bool {
 	return s != StartOther
 }
+
+// Version returns the software version of a stream that begins at a server with the start. The
+// listed version is that of another process unless a report shows otherwise.
+func (s ServerStart) Version(listed string) string {
+	if s != StartAsListed {
+		return UnknownVersion
+	}
+	return listed
+}
+
+// Confirmation is what the last report of a server told that was asked for to confirm its start.
+// The zero value confirms nothing.
+type Confirmation struct {
+	// StartedMillis is the start of the process that answered.
+	StartedMillis int64
+	// ConnectedAt is when the connection was opened over which it answered.
+	ConnectedAt time.Time
+}
+
+// Covers reports whether a connection that works leads to the listed process: one that is no
+// newer than that of the report ends with any earlier process.
+func (c Confirmation) Covers(listed int64, connectedAt time.Time) bool {
+	return c.StartedMillis != 0 && c.StartedMillis == listed && !connectedAt.After(c.ConnectedAt)
+}
--- a/internal/ports/call.go
+++ b/internal/ports/call.go
@@ -207,6 +207,9 @@
 	Server() VM
 	// GrantDetails returns who granted the slot and why the call waited for it.
 	GrantDetails() GrantDetails
+	// RecordUnlistedStart records, before the first Progress, that the server may not be the
+	// process in the list. Server then has no software version that another server has.
+	RecordUnlistedStart()
 	// Progress reports the cost of the run so far; cost is a total.
 	Progress(cost Cost)
 	// Release returns the slot with the total cost of the run and what the run
@@ -328,6 +331,9 @@
 	// Accept records that the backend server has accepted the call, and returns when the
 	// answer may be relayed. It fails if the run is no longer wanted.
 	Accept() error
+	// RecordUnlistedStart records, before the first event of a stream, that the backend server
+	// may not be the process in the list, which may have another software version.
+	RecordUnlistedStart()
 	// RecordEvent records that the event with the ID is about to be relayed; zero for an
 	// event without one. If it fails, the event must not be relayed.
 	RecordEvent(id int) error
--- a/testbench/soak/soak_test.go
+++ b/testbench/soak/soak_test.go
@@ -65,6 +65,14 @@
 	})
 }
 
+// Streams begin at servers that have started again with another version, and break.
+func TestStreamsHoldWhileServersRestart(t *testing.T) {
+	runSoak(t, Options{
+		Seed: 6104, Daemons: 4, Callers: 80, ServersPerService: 4, FaultDuration: 8 * time.Second,
+		Faults: regexp.MustCompile("restarted|daemon killed|fails requests"),
+	})
+}
+
 // Daemons stop one after the other, some of them while they relay connections to others.
 func TestPlannedStopsLoseNoCalls(t *testing.T) {
 	runSoak(t, Options{
