backendhttp: record how long requests wait to be written, and for whom

Callers of late daemons left, and their requests were sent afterwards. No line or metric told whether a request had waited before the daemon looked for its caller, or between that and the first byte.

backend_write_wait_seconds has the time from the choice of a server to the first byte, by whether the caller still waits at that moment. Nothing is decided by it yet.

Evidence: the package's tests pass.

--- a/internal/adapters/backendhttp/client.go
+++ b/internal/adapters/backendhttp/client.go
@@ -52,6 +52,8 @@
 	opened, closedCounter *metrics.CounterVec
 	// invalidRetryAfter counts the answers with an invalid Retry-After by problem.
 	invalidRetryAfter *metrics.CounterVec
+	// writeWaits are the times that requests waited to be written, by what their callers did.
+	writeWaits *metrics.DurationHistogramVec
 	// loadRequests numbers the requests for load reports.
 	loadRequests atomic.Uint64
 
@@ -121,6 +123,7 @@
 		opened:            metrics.NewCounterVec(scope, "connections_opened", "reason"),
 		closedCounter:     metrics.NewCounterVec(scope, "connections_closed", "reason"),
 		invalidRetryAfter: metrics.NewCounterVec(scope, "invalid_retry_after", "problem"),
+		writeWaits:        metrics.NewDurationHistogramVec(scope, "write_wait_seconds", "caller"),
 		idle:              make(map[string][]*clientConn),
 		openCount:         make(map[string]int),
 	}
--- a/internal/adapters/backendhttp/conn.go
+++ b/internal/adapters/backendhttp/conn.go
@@ -23,6 +23,9 @@
 	// requestLine corrects the beginning of the current request; nil if nothing is to be
 	// corrected, or once it was written.
 	requestLine *correctedRequestLine
+	// beforeWrite is called right before the first byte of the current request is written;
+	// nil for nothing.
+	beforeWrite func()
 
 	// peekMu is held while the kernel is asked for the state of the connection. It guards
 	// foundReset, which is true once that was a reset; the kernel doesn't report it again.
@@ -49,7 +52,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeStarted = false
-	c.requestLine = nil
+	c.requestLine, c.beforeWrite = nil, nil
 	c.countsBytes.Store(progress == ProgressByte)
 	c.recordProgress(now)
 }
@@ -61,6 +64,13 @@
 	c.requestLine = requestLine
 }
 
+// checkBeforeWrite calls check right before the first byte of the current request is written.
+func (c *trackedConn) checkBeforeWrite(check func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beforeWrite = check
+}
+
 func (c *trackedConn) recordProgress(now time.Time) {
 	c.lastProgress.Store(int64(now.Sub(c.createdAt)))
 }
@@ -96,6 +106,10 @@
 	if c.writesDisabled {
 		return nil, false
 	}
+	if c.beforeWrite != nil && size > 0 {
+		c.beforeWrite()
+		c.beforeWrite = nil
+	}
 	c.writeStarted = c.writeStarted || size > 0
 	requestLine := c.requestLine
 	c.requestLine = nil
--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -35,6 +35,9 @@
 	// reused for it only if it was idle for less than this time and the kernel
 	// reports it as open just before. Zero means no such conditions.
 	MaxIdleTime time.Duration
+	// CallerGone is asked, on another goroutine, right before the first byte is written;
+	// nil if nobody waits for the answer.
+	CallerGone func() bool
 	// SilenceTimeout is the time without progress after which ShouldCloseSilent is
 	// called; zero disables this check.
 	SilenceTimeout time.Duration
@@ -84,13 +87,13 @@
 // written to it, Do uses a new one instead. Errors are of type *ConnectError or
 // *ExchangeError.
 func (c *Client) Do(ctx context.Context, request *Request) (*Exchange, error) {
-	forceNew := request.ForceNewConnection
+	forceNew, askedAt := request.ForceNewConnection, time.Now()
 	for {
 		conn, err := c.acquireConn(ctx, request, forceNew)
 		if err != nil {
 			return nil, err
 		}
-		exchange, failure := c.roundTrip(ctx, conn, request)
+		exchange, failure := c.roundTrip(ctx, conn, request, askedAt)
 		if failure == nil {
 			return exchange, nil
 		}
@@ -102,8 +105,10 @@
 	}
 }
 
-// roundTrip sends the request over conn and closes conn on failure.
-func (c *Client) roundTrip(ctx context.Context, conn *clientConn, request *Request) (*Exchange, *ExchangeError) {
+// roundTrip sends the request, which Do got at askedAt, over conn and closes conn on failure.
+func (c *Client) roundTrip(
+	ctx context.Context, conn *clientConn, request *Request, askedAt time.Time,
+) (*Exchange, *ExchangeError) {
 	httpRequest, err := newHTTPRequest(ctx, request)
 	if err != nil {
 		c.closeConn(conn, closeReasonAborted)
@@ -111,6 +116,7 @@
 	}
 	conn.tracked.beginRequest(time.Now(), request.Progress)
 	conn.tracked.correctRequestLine(newCorrectedRequestLine(request))
+	conn.tracked.checkBeforeWrite(func() { c.recordWait(request, askedAt) })
 	exchange := &Exchange{
 		client: c, conn: conn, watchdog: startSilenceWatchdog(conn.tracked, request),
 		maxIdleConnections: request.MaxIdleConnections, progress: request.Progress,
@@ -133,6 +139,25 @@
 	return exchange, nil
 }
 
+// Values of the tag "caller" of the times that requests waited to be written.
+const (
+	callerWaiting = "waiting"
+	callerGone    = "gone"
+)
+
+// recordWait records how long a request waited to be written, and whether its caller still
+// waits.
+func (c *Client) recordWait(request *Request, askedAt time.Time) {
+	if request.CallerGone == nil {
+		return
+	}
+	caller := callerWaiting
+	if request.CallerGone() {
+		caller = callerGone
+	}
+	c.writeWaits.Record(time.Since(askedAt), caller)
+}
+
 // minFinalStatus is the lowest status of a final answer. net/http handles interim answers
 // itself and passes on what is none, which no HTTP server can relay.
 const minFinalStatus = 200
--- a/internal/adapters/enginehttp/backend.go
+++ b/internal/adapters/enginehttp/backend.go
@@ -55,7 +55,7 @@
 
 // newRequest returns the request that starts a run. An idle connection may have
 // broken unnoticed, so only a repeatable call uses one.
-func (b *Backend) newRequest(call *ports.Call, server ports.VM) *backendhttp.Request {
+func (b *Backend) newRequest(call *ports.Call, server ports.VM, sink ports.AnswerSink) *backendhttp.Request {
 	header := backendhttp.FilterRequestHeader(call.Header)
 	header.Set("Content-Type", "application/json")
 	header.Set(backendhttp.HeaderRequestID, string(call.ID))
@@ -69,6 +69,7 @@
 		Header:             header,
 		Body:               call.Body,
 		ForceNewConnection: !call.Repeatable,
+		CallerGone:         sink.CallerGone,
 		SilenceTimeout:     b.progressTimeout(call.Service),
 	}
 }
@@ -79,7 +80,7 @@
 	ctx context.Context, call *ports.Call, server ports.VM, sink ports.AnswerSink,
 ) ports.RunResult {
 	sentAt := time.Now()
-	request := b.newRequest(call, server)
+	request := b.newRequest(call, server, sink)
 	request.ShouldCloseSilent = backendhttp.ProbeOnSilence(ctx, b.client, call, server, request.SilenceTimeout)
 	exchange, err := b.client.Do(ctx, request)
 	if err != nil {
--- a/internal/adapters/enginehttp/stream.go
+++ b/internal/adapters/enginehttp/stream.go
@@ -111,7 +111,7 @@
 
 // start sends the call and relays the answer on the first connection.
 func (r *streamRun) start(ctx context.Context) connectionEnd {
-	exchange, err := r.backend.client.Do(ctx, r.backend.newRequest(r.call, r.server))
+	exchange, err := r.backend.client.Do(ctx, r.backend.newRequest(r.call, r.server, r.sink))
 	if err != nil {
 		result := backendhttp.FailureResult(ctx, err)
 		return connectionEnd{result: result, resumable: result.End != outcome.NotRun}
--- a/internal/adapters/servicehttp/backend.go
+++ b/internal/adapters/servicehttp/backend.go
@@ -82,7 +82,9 @@
 
 // newRequest returns the request that runs a call. An idle connection may have
 // broken unnoticed, so only a repeatable call uses one.
-func (b *Backend) newRequest(ctx context.Context, call *ports.Call, server ports.VM) *backendhttp.Request {
+func (b *Backend) newRequest(
+	ctx context.Context, call *ports.Call, server ports.VM, sink ports.AnswerSink,
+) *backendhttp.Request {
 	header := backendhttp.FilterRequestHeader(call.Header)
 	header.Set(backendhttp.HeaderRequestID, string(call.ID))
 	if call.IdempotencyKey != "" {
@@ -100,6 +102,7 @@
 		Header:             header,
 		Body:               call.Body,
 		ForceNewConnection: !call.Repeatable,
+		CallerGone:         sink.CallerGone,
 		SilenceTimeout:     silenceTimeout,
 		ShouldCloseSilent:  backendhttp.ProbeOnSilence(ctx, b.client, call, server, silenceTimeout),
 	}
@@ -110,7 +113,7 @@
 func (b *Backend) runExchange(
 	ctx context.Context, call *ports.Call, server ports.VM, sink ports.AnswerSink, sentAt time.Time,
 ) ports.RunResult {
-	exchange, err := b.client.Do(ctx, b.newRequest(ctx, call, server))
+	exchange, err := b.client.Do(ctx, b.newRequest(ctx, call, server, sink))
 	if err != nil {
 		return backendhttp.FailureResult(ctx, err)
 	}
