backendhttp: send no request whose caller left while it waited

Callers of late daemons left at their deadline, and their requests reached a backend server half a second or more later.

Cause: a daemon looks whether its caller is there when it has a server. Then the call waits for a connection and for the goroutine that writes, each as long as the daemon is late. The context ends only once the goroutine that reads the caller's connection has run, which waits as well.

The kernel is asked again under the lock of the first write. Nothing that waits comes after it. Such a call ends as not run, and isn't tried again.

Evidence: TestRequestIsNotSentOnceItsCallerHasLeft fails without the change ("the request has an answer") for new and for reused connections.

--- a/internal/adapters/backendhttp/conn.go
+++ b/internal/adapters/backendhttp/conn.go
@@ -23,9 +23,10 @@
 	// requestLine corrects the beginning of the current request; nil if nothing is to be
 	// corrected, or once it was written.
 	requestLine *correctedRequestLine
-	// beforeWrite is called right before the first byte of the current request is written;
-	// nil for nothing.
-	beforeWrite func()
+	// isWanted is asked right before the first byte of the current request is written; nil if
+	// it is always written. unwanted is true if the answer was no.
+	isWanted func() bool
+	unwanted bool
 
 	// peekMu is held while the kernel is asked for the state of the connection. It guards
 	// foundReset, which is true once that was a reset; the kernel doesn't report it again.
@@ -52,7 +53,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeStarted = false
-	c.requestLine, c.beforeWrite = nil, nil
+	c.requestLine, c.isWanted, c.unwanted = nil, nil, false
 	c.countsBytes.Store(progress == ProgressByte)
 	c.recordProgress(now)
 }
@@ -64,11 +65,20 @@
 	c.requestLine = requestLine
 }
 
-// checkBeforeWrite calls check right before the first byte of the current request is written.
-func (c *trackedConn) checkBeforeWrite(check func()) {
+// writeIfWanted makes the first write of the current request fail if isWanted returns false
+// right before it.
+func (c *trackedConn) writeIfWanted(isWanted func() bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.beforeWrite = check
+	c.isWanted = isWanted
+}
+
+// wasUnwanted reports whether nothing of the current request was written since it was no longer
+// wanted.
+func (c *trackedConn) wasUnwanted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unwanted
 }
 
 func (c *trackedConn) recordProgress(now time.Time) {
@@ -84,8 +94,8 @@
 	return c.writeStarted
 }
 
-// Write implements net.Conn. After disableWrites, it fails with
-// *writesDisabledError.
+// Write implements net.Conn. After disableWrites, and for a request that is no longer wanted, it
+// fails with *writesDisabledError.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	requestLine, started := c.startWrite(len(p))
 	if !started {
@@ -98,7 +108,7 @@
 }
 
 // startWrite records the start of a write and returns what corrects it, or reports
-// false if writes are disabled. It runs before the write, which may block after a part
+// false if nothing may be written. It runs before the write, which may block after a part
 // of the bytes.
 func (c *trackedConn) startWrite(size int) (*correctedRequestLine, bool) {
 	c.mu.Lock()
@@ -106,9 +116,12 @@
 	if c.writesDisabled {
 		return nil, false
 	}
-	if c.beforeWrite != nil && size > 0 {
-		c.beforeWrite()
-		c.beforeWrite = nil
+	if c.isWanted != nil && size > 0 {
+		if !c.isWanted() {
+			c.unwanted, c.writesDisabled = true, true
+			return nil, false
+		}
+		c.isWanted = nil
 	}
 	c.writeStarted = c.writeStarted || size > 0
 	requestLine := c.requestLine
@@ -179,7 +192,7 @@
 	_ = c.Conn.Close()
 }
 
-// writesDisabledError is returned by writes after disableWrites.
+// writesDisabledError is returned by writes that are not allowed.
 type writesDisabledError struct{}
 
 // Error implements error.
--- a/internal/adapters/backendhttp/errors.go
+++ b/internal/adapters/backendhttp/errors.go
@@ -38,6 +38,9 @@
 	// MaybeSent is false only if no byte of the request was written to a
 	// connection.
 	MaybeSent bool
+	// Unwanted is true if no byte was written because the caller had gone or the context had
+	// ended by then.
+	Unwanted bool
 	// Silent is true if the connection was closed because it received nothing for
 	// too long.
 	Silent bool
--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -35,8 +35,8 @@
 	// reused for it only if it was idle for less than this time and the kernel
 	// reports it as open just before. Zero means no such conditions.
 	MaxIdleTime time.Duration
-	// CallerGone is asked, on another goroutine, right before the first byte is written;
-	// nil if nobody waits for the answer.
+	// CallerGone is asked, on another goroutine, right before the first byte is written. If
+	// it returns true, nothing is written. It is nil if nobody waits for the answer.
 	CallerGone func() bool
 	// SilenceTimeout is the time without progress after which ShouldCloseSilent is
 	// called; zero disables this check.
@@ -97,7 +97,7 @@
 		if failure == nil {
 			return exchange, nil
 		}
-		stale := conn.reused && !failure.MaybeSent && ctx.Err() == nil
+		stale := conn.reused && !failure.MaybeSent && !failure.Unwanted && ctx.Err() == nil
 		if !stale {
 			return nil, failure
 		}
@@ -116,7 +116,7 @@
 	}
 	conn.tracked.beginRequest(time.Now(), request.Progress)
 	conn.tracked.correctRequestLine(newCorrectedRequestLine(request))
-	conn.tracked.checkBeforeWrite(func() { c.recordWait(request, askedAt) })
+	conn.tracked.writeIfWanted(func() bool { return c.callerWaits(request, askedAt) && ctx.Err() == nil })
 	exchange := &Exchange{
 		client: c, conn: conn, watchdog: startSilenceWatchdog(conn.tracked, request),
 		maxIdleConnections: request.MaxIdleConnections, progress: request.Progress,
@@ -126,7 +126,8 @@
 		maybeSent := conn.tracked.disableWrites()
 		exchange.Abort()
 		return nil, &ExchangeError{
-			Address: request.Address, MaybeSent: maybeSent, Silent: conn.tracked.closedAsSilent.Load(), Cause: err,
+			Address: request.Address, MaybeSent: maybeSent, Unwanted: conn.tracked.wasUnwanted(),
+			Silent: conn.tracked.closedAsSilent.Load(), Cause: err,
 		}
 	}
 	exchange.Response = response
@@ -145,17 +146,21 @@
 	callerGone    = "gone"
 )
 
-// recordWait records how long a request waited to be written, and whether its caller still
-// waits.
-func (c *Client) recordWait(request *Request, askedAt time.Time) {
+// callerWaits records how long a request waited to be written, and reports whether its caller
+// still waits.
+//
+// Load pattern: a daemon that gets little processor time needs longer to connect and to write
+// than callers wait, and than their hang-up takes to end the context.
+func (c *Client) callerWaits(request *Request, askedAt time.Time) bool {
 	if request.CallerGone == nil {
-		return
+		return true
 	}
-	caller := callerWaiting
+	caller, waits := callerWaiting, true
 	if request.CallerGone() {
-		caller = callerGone
+		caller, waits = callerGone, false
 	}
 	c.writeWaits.Record(time.Since(askedAt), caller)
+	return waits
 }
 
 // minFinalStatus is the lowest status of a final answer. net/http handles interim answers
--- a/internal/adapters/backendhttp/result.go
+++ b/internal/adapters/backendhttp/result.go
@@ -32,6 +32,8 @@
 	switch {
 	case ctx.Err() != nil:
 		result.Reason, result.Detail = ContextEndReason(ctx)
+	case err.Unwanted:
+		result.Reason, result.Detail = outcome.ReasonCallerGone, "the caller hung up before the request was written"
 	case err.Silent:
 		result.Reason = outcome.ReasonConnectionSilent
 		result.Report.Fault = ports.ServerFaultSilent
--- a/internal/adapters/backendhttp/runonce_test.go
+++ b/internal/adapters/backendhttp/runonce_test.go
@@ -265,3 +265,28 @@
 		}
 	}
 }
+
+// The caller leaves after the server was chosen, while its request waits to be written.
+func TestRequestIsNotSentOnceItsCallerHasLeft(t *testing.T) {
+	for name, wasUsed := range map[string]bool{"new connection": false, "reused connection": true} {
+		t.Run(name, func(t *testing.T) {
+			server, client, sent := startScriptedServer(t, &scriptedServer{}), newTestClient(t), 0
+			if wasUsed {
+				doWhole(t, client, newPostRequest(server.address))
+				sent = 1
+			}
+			request := newPostRequest(server.address)
+			request.CallerGone = func() bool { return true }
+			_, err := client.Do(testContext(t), request)
+			if err == nil {
+				t.Fatal("the request has an answer")
+			}
+			if result := FailureResult(testContext(t), err); result.End != outcome.NotRun || result.Reason != outcome.ReasonCallerGone {
+				t.Errorf("got %s, %s, want %s, %s", result.End, result.Reason, outcome.NotRun, outcome.ReasonCallerGone)
+			}
+			if got := server.requestCount(); got != sent {
+				t.Errorf("the server got %d requests, want %d", got, sent)
+			}
+		})
+	}
+}
