soak: what a stop may cut is judged by the time that runs take

Cause, from the kept logs: the call was sent before the signal and may be cut if it outlasts the stop. The check took the length that the fake server had planned, 6 s. The server had sent 23 of its events after 6.63 s, when the daemon cut the call at the time that it had announced. So the call did outlast the stop, which the check allows.

The check is replaced by one that doesn't depend on how busy the machine is: a run ends when the server ends it, and its length is measured. A call that comes after the signal is excused if no known one ran longer than it had until the cut, give or take the margin in which a daemon answers before the cut. The bounds on the time of the cut are as they were.

--- a/testbench/soak/backends.go
+++ b/testbench/soak/backends.go
@@ -202,23 +202,21 @@
 		s.sendUnframed(w, platformtest.StreamID(r), id, version, lastEvent)
 		return
 	}
+	defer s.cuts.recordRun(id)()
 	if s.service == "llm" {
 		interval := time.Duration(rand.Int64N(int64(maxEventInterval)))
 		events := time.Duration(streamEventCount - lastEvent)
 		if isLong {
 			interval = longCall / max(events, 1)
 		}
-		s.cuts.recordRun(id, interval*events)
 		s.sendStream(w, platformtest.StreamID(r), lastEvent, version, interval, mode == truncateAnswer)
 		return
 	}
 	body := plainBody(id)
 	if isLong && mode == noFailure {
-		s.cuts.recordRun(id, longCall)
 		sendSlowly(w, r, body)
 		return
 	}
-	s.cuts.recordRun(id, 0)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if mode == truncateAnswer {
 		if rand.IntN(2) == 0 {
--- a/testbench/soak/stopcuts.go
+++ b/testbench/soak/stopcuts.go
@@ -62,10 +62,19 @@
 	return at.After(s.cutAt().Add(-cutMargin)) && (s.endedAt.IsZero() || at.Before(s.endedAt.Add(exitSlack)))
 }
 
-// plannedRun is how long a server takes for a call, and when its answer will be whole.
-type plannedRun struct {
-	length time.Duration
-	endsAt time.Time
+// measuredRun is a server's run of a call. A busy server takes longer than it wants to.
+type measuredRun struct {
+	beganAt time.Time
+	// endedAt is when the answer was whole or broken off; zero while the run goes on.
+	endedAt time.Time
+}
+
+// end returns when the run ended, or now while it goes on.
+func (r measuredRun) end(now time.Time) time.Time {
+	if r.endedAt.IsZero() {
+		return now
+	}
+	return r.endedAt
 }
 
 // completion is a whole answer to a call that took a server the length.
@@ -100,7 +109,7 @@
 
 	mu        sync.Mutex
 	stops     []*stop
-	runs      map[string]plannedRun
+	runs      map[string]measuredRun
 	long      map[string]bool
 	completed map[completions][]completion
 	counts    StopCounts
@@ -108,7 +117,7 @@
 
 func newStopCuts() *stopCuts {
 	return &stopCuts{
-		longParts: make(map[string]float64), late: make(map[string]bool), runs: make(map[string]plannedRun),
+		longParts: make(map[string]float64), late: make(map[string]bool), runs: make(map[string]measuredRun),
 		long: make(map[string]bool), completed: make(map[completions][]completion),
 	}
 }
@@ -127,11 +136,20 @@
 	return c.long[id]
 }
 
-// recordRun records that a server begins a run of the length.
-func (c *stopCuts) recordRun(id string, length time.Duration) {
+// recordRun records that a server begins a run, until the returned function is called.
+func (c *stopCuts) recordRun(id string) (end func()) {
+	began := measuredRun{beganAt: time.Now()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.runs[id] = plannedRun{length: length, endsAt: time.Now().Add(length)}
+	c.runs[id] = began
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		// Another run of the call may have begun.
+		if c.runs[id] == began {
+			c.runs[id] = measuredRun{beganAt: began.beganAt, endedAt: time.Now()}
+		}
+	}
 }
 
 // begin records a stop that begins now.
@@ -176,7 +194,8 @@
 	switch {
 	case status == http.StatusOK:
 		key := completions{sent.address, sent.kind.path}
-		c.completed[key] = append(c.completed[key], completion{at: now, length: c.runs[sent.id].length})
+		run := c.runs[sent.id]
+		c.completed[key] = append(c.completed[key], completion{at: now, length: run.end(now).Sub(run.beganAt)})
 	case isRefused:
 		c.counts.Refused++
 	case status == http.StatusBadGateway && strings.HasPrefix(body, "cut-by-stop:"):
@@ -202,15 +221,15 @@
 		slack = relaySlack
 	}
 	return hasRun && len(c.longParts) > 0 && slices.ContainsFunc(c.stops, func(s *stop) bool {
-		if s.address != sent.address && !c.late[sent.address] || !s.couldCut(now) || run.endsAt.Before(s.cutAt().Add(-endSlack)) {
+		if s.address != sent.address && !c.late[sent.address] || !s.couldCut(now) || run.end(now).Before(s.cutAt().Add(-endSlack)) {
 			return false
 		}
-		return sent.sentAt.Before(s.signalAt.Add(slack)) || !c.isLengthKnownLocked(sent, run.length)
+		return sent.sentAt.Before(s.signalAt.Add(slack)) || !c.isLengthKnownLocked(sent, run.end(now).Sub(run.beganAt))
 	})
 }
 
 // isLengthKnownLocked reports whether all daemons that may have taken the call knew that such
-// calls last as long.
+// calls last longer than the length after which this one was cut.
 func (c *stopCuts) isLengthKnownLocked(sent sentCall, length time.Duration) bool {
 	if c.longParts[sent.kind.path] == 1 {
 		return true
@@ -218,7 +237,7 @@
 	if len(c.late) > 0 {
 		return false
 	}
-	return slices.ContainsFunc(c.knownLocked(sent), func(known completion) bool { return known.length >= length })
+	return slices.ContainsFunc(c.knownLocked(sent), func(known completion) bool { return known.length >= length+cutMargin })
 }
 
 // knownLocked returns the last calls of the kind that the daemon knew when the call was sent.
--- a/testbench/soak/stopcuts_test.go
+++ b/testbench/soak/stopcuts_test.go
@@ -46,7 +46,11 @@
 		if tt.knows {
 			c.completed[completions{"d1", sent.kind.path}] = []completion{{at: sent.sentAt.Add(-time.Second), length: longCall}}
 		}
-		c.runs["w"] = plannedRun{length: tt.length, endsAt: sent.sentAt.Add(tt.length)}
+		run := measuredRun{beganAt: sent.sentAt}
+		if ended := sent.sentAt.Add(tt.length); ended.Before(now) {
+			run.endedAt = ended
+		}
+		c.runs["w"] = run
 		if got := c.recordBreak(sent); got != tt.want {
 			t.Errorf("%s: excused %v, want %v", tt.name, got, tt.want)
 		}
