platform: a report of another start serves all streams that wait for it

Confirmation.Judge now says of a connection that is no newer than that of the report whether it is of the listed process or of another start; only where it says neither is the server asked. The rows of the table that wanted "not covered" now want the start itself, which is stricter. Not measured: how many reports that saves.

--- a/internal/core/streamorigin/decide.go
+++ b/internal/core/streamorigin/decide.go
@@ -40,8 +40,8 @@
 	DoubtSeveralVersions Doubt = "several-versions"
 	// DoubtNoVersion means that there is no server.
 	DoubtNoVersion Doubt = "no-version"
-	// DoubtServerRestarted means that the stream began at a server of which the list told
-	// another start.
+	// DoubtServerRestarted means that the stream began at a server of which no report told the
+	// start in the list.
 	DoubtServerRestarted Doubt = "server-restarted"
 )
 
--- a/internal/core/streamorigin/decide_test.go
+++ b/internal/core/streamorigin/decide_test.go
@@ -79,20 +79,20 @@
 		report      Confirmation
 		listed      int64
 		connectedAt time.Time
-		want        bool
+		want        ServerStart
 	}{
-		"never asked":                          {Confirmation{}, 5, second(1), false},
-		"connection of the listed process":     {Confirmation{5, second(2)}, 5, second(1), true},
-		"connection of the report":             {Confirmation{5, second(2)}, 5, second(2), true},
-		"connected after the report":           {Confirmation{5, second(2)}, 5, second(3), false},
-		"restarted, list behind":               {Confirmation{6, second(4)}, 5, second(3), false},
-		"restarted twice, list one start late": {Confirmation{7, second(6)}, 6, second(5), false},
-		"list has followed":                    {Confirmation{6, second(4)}, 6, second(3), true},
-		"start not told":                       {Confirmation{0, second(2)}, 0, second(1), false},
+		"never asked":                          {Confirmation{}, 5, second(1), StartUnknown},
+		"connection of the listed process":     {Confirmation{5, second(2)}, 5, second(1), StartAsListed},
+		"connection of the report":             {Confirmation{5, second(2)}, 5, second(2), StartAsListed},
+		"connected after the report":           {Confirmation{5, second(2)}, 5, second(3), StartUnknown},
+		"restarted, list behind":               {Confirmation{6, second(4)}, 5, second(3), StartOther},
+		"restarted twice, list one start late": {Confirmation{7, second(6)}, 6, second(5), StartOther},
+		"list has followed":                    {Confirmation{6, second(4)}, 6, second(3), StartAsListed},
+		"start not told":                       {Confirmation{0, second(2)}, 0, second(1), StartUnknown},
 	}
 	for name, c := range cases {
-		if got := c.report.Covers(c.listed, c.connectedAt); got != c.want {
-			t.Errorf("%s: got %v", name, got)
+		if got := c.report.Judge(c.listed, c.connectedAt); got != c.want {
+			t.Errorf("%s: got %s, want %s", name, got, c.want)
 		}
 	}
 	for start, want := range map[ServerStart]string{StartAsListed: "v1", StartOther: UnknownVersion, StartUnknown: UnknownVersion} {
--- a/internal/core/streamorigin/start.go
+++ b/internal/core/streamorigin/start.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// UnknownVersion is the software version of a server that isn't the process in the list. No
+// UnknownVersion is the software version of a server that may not be the process in the list. No
 // server is listed with it, so that a stream that began there goes on nowhere.
 const UnknownVersion = "\x00unknown"
 
@@ -59,8 +59,11 @@
 	ConnectedAt time.Time
 }
 
-// Covers reports whether a connection that works leads to the listed process: one that is no
-// newer than that of the report ends with any earlier process.
-func (c Confirmation) Covers(listed int64, connectedAt time.Time) bool {
-	return c.StartedMillis != 0 && c.StartedMillis == listed && !connectedAt.After(c.ConnectedAt)
+// Judge returns the start of the process at the other end of a connection that works, against the
+// listed one: a connection that is no newer than that of the report ends with any earlier process.
+func (c Confirmation) Judge(listed int64, connectedAt time.Time) ServerStart {
+	if connectedAt.After(c.ConnectedAt) {
+		return StartUnknown
+	}
+	return JudgeStart(listed, c.StartedMillis)
 }
