enginehttp: don't ask an engine to go on for a caller who has left

Read by the review: where a stream goes on over another connection to its engine, nothing asked for the caller before the request was written, other than the context, which a late daemon ends late. The request is now under the same check as the others; if it isn't sent, the stream ends as its last connection did. Own interface; no test of its own.

--- a/internal/adapters/enginehttp/stream.go
+++ b/internal/adapters/enginehttp/stream.go
@@ -142,6 +142,7 @@
 		Target:             streamsTarget + string(r.call.ID),
 		Header:             header,
 		ForceNewConnection: true,
+		CallerGone:         r.sink.CallerGone,
 		SilenceTimeout:     r.backend.progressTimeout(r.call.Service),
 	})
 	if err != nil {
