callerhttp: a request whose body is cut at the last byte is refused as such

Read by the review: a stop that ends the reading of a body right after its last byte has come also ends the connection's background read, and so the call's context. The call then ended as "caller gone", without a time to retry after, though its caller waits. It is refused as `stopping` now, also if the body is whole; nothing was sent, so that "not run" holds. The window is the length of one loop; not reproduced.

--- a/internal/adapters/callerhttp/body.go
+++ b/internal/adapters/callerhttp/body.go
@@ -78,7 +78,7 @@
 		s.refuseUnread(w, r)
 		return nil, refusal
 	}
-	if err != nil && in.held.wasCut() {
+	if in.held.wasCut() {
 		s.refuseUnread(w, r)
 		return nil, newStoppingRefusal("the daemon stops before the request has arrived")
 	}
