callerhttp: only a refused connection shows that a peer has ended

Read by the review: a relay took any error of its look at the peer, also a timeout of a daemon that is late or a lack of descriptors, for the peer's end, and since it looks up to seven times. The caller then got "may have run" and the loss was counted as `gone` though the peer goes on. Only ECONNREFUSED counts now. Not reproduced; the cases of a peer that has ended pass.

--- a/internal/adapters/callerhttp/handover.go
+++ b/internal/adapters/callerhttp/handover.go
@@ -241,9 +241,9 @@
 		closeWithReset(caller)
 	default:
 		defer h.relaysByPeer.add(peer.daemon, conn)()
-		began := h.table.incarnations.PeerIncarnation(peer.daemon)
+		servedBy := h.table.incarnations.PeerIncarnation(peer.daemon)
 		relay := relay{caller: caller, peer: conn, gather: h.shouldGather, refusal: func(turn *relayTurn, readErr error) []byte {
-			return h.refusalOfLostRequest(peer, began, turn, readErr)
+			return h.refusalOfLostRequest(peer, servedBy, turn, readErr)
 		}}
 		relay.run()
 	}
--- a/internal/adapters/callerhttp/relayloss.go
+++ b/internal/adapters/callerhttp/relayloss.go
@@ -116,11 +116,11 @@
 
 // relayEnd returns how a peer ended a connection on which a request waits, by the error of
 // reading it.
-func (h *handover) relayEnd(peer handoverPeer, began ports.Incarnation, readErr error) string {
+func (h *handover) relayEnd(peer handoverPeer, servedBy ports.Incarnation, readErr error) string {
 	switch {
 	case !errors.Is(readErr, io.EOF) && !errors.Is(readErr, syscall.ECONNRESET):
 		return relayEndVanished
-	case h.hasEnded(peer, began):
+	case h.hasEnded(peer, servedBy):
 		return relayEndGone
 	default:
 		return relayEndClosed
@@ -128,12 +128,13 @@
 }
 
 // hasEnded reports whether the process ends, or is known to have been started again, within
-// endNoticePeriod. The connection was relayed to the incarnation that began it.
-func (h *handover) hasEnded(peer handoverPeer, began ports.Incarnation) bool {
+// endNoticePeriod. The connection was relayed to the incarnation servedBy; zero if
+// unknown.
+func (h *handover) hasEnded(peer handoverPeer, servedBy ports.Incarnation) bool {
 	deadline := time.Now().Add(endNoticePeriod)
 	for wait := firstEndCheck; ; wait *= 2 {
 		current := h.table.incarnations.PeerIncarnation(peer.daemon)
-		if began != 0 && current != 0 && current != began || !isListening(peer) {
+		if servedBy != 0 && current != 0 && current != servedBy || !isListening(peer) {
 			return true
 		}
 		left := time.Until(deadline)
@@ -144,12 +145,13 @@
 	}
 }
 
-// isListening reports whether a process accepts connections at the peer's address. One that
-// ended doesn't, though its kernel closes the connections in order.
+// isListening reports whether a process may accept connections at the peer's address. One that
+// ended doesn't, though its kernel closes the connections in order. A peer that is late, or a lack
+// of descriptors here, doesn't tell.
 func isListening(peer handoverPeer) bool {
 	conn, err := net.DialTimeout("tcp", peer.address, handoverDialTimeout)
 	if err != nil {
-		return false
+		return !errors.Is(err, syscall.ECONNREFUSED)
 	}
 	closeWithReset(conn)
 	return true
@@ -161,7 +163,7 @@
 // connection, if the peer may not have read the request or goes on, and if only the peer can
 // encrypt an answer. A peer that goes on answers what it has read, also before it has read all.
 func (h *handover) refusalOfLostRequest(
-	peer handoverPeer, began ports.Incarnation, turn *relayTurn, readErr error,
+	peer handoverPeer, servedBy ports.Incarnation, turn *relayTurn, readErr error,
 ) []byte {
 	waits, idleBefore, ok := turn.unanswered()
 	if !ok || errors.Is(readErr, net.ErrClosed) {
@@ -169,7 +171,7 @@
 	}
 	end := relayEndCrossed
 	if !overload.MayHaveCrossedClose(idleBefore, waits) {
-		end = h.relayEnd(peer, began, readErr)
+		end = h.relayEnd(peer, servedBy, readErr)
 	}
 	h.requestsLost.Inc(end)
 	if h.logLimiter.Allow("relayed-request-lost", end) {
--- a/internal/adapters/callerhttp/sink.go
+++ b/internal/adapters/callerhttp/sink.go
@@ -135,8 +135,8 @@
 	return true
 }
 
-// end records that the execution has ended, and reports whether its answer was replaced. The
-// writer is the caller's again.
+// end records that the execution has ended, and reports whether its answer was replaced. If not,
+// the HTTP handler writes the rest.
 func (s *answerSink) end() (replaced bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/adapters/callerhttp/stopping.go
+++ b/internal/adapters/callerhttp/stopping.go
@@ -177,10 +177,14 @@
 	if outlook.UntilCut > cutAnswerMargin || call.sink.headSent.Load() || call.ctx.Err() != nil {
 		return
 	}
-	if ownCutAt, isStopping := s.cutAt.get(); call.OutlivesCaller() && (!isStopping || cutAt.Before(ownCutAt)) && !call.gate.Close() {
-		// Another caller that reads slowly must not delay this one's answer.
-		go s.answerBeforeEnd(call)
-		return
+	ownCutAt, isStopping := s.cutAt.get()
+	onlyRelayStops := !isStopping || cutAt.Before(ownCutAt)
+	if call.OutlivesCaller() && onlyRelayStops {
+		if isUnsent := call.gate.Close(); !isUnsent {
+			// Another caller that reads slowly must not delay this one's answer.
+			go s.answerBeforeEnd(call)
+			return
+		}
 	}
 	s.countCut(call, "unanswered")
 	call.refuse(newCutRefusal())
