Incident: heads that aren't HTTP were taken for answers

Callers got, as an answer, one in whose head the name of a field held a blank, and for "Transfer-Encoding : chunked" a body that wasn't the server's: the chunks with their lengths.

Cause: the client of net/http accepts names with blanks, as they are, so that it doesn't know the fields that frame the body by them. The daemon decided by what was left of the head. The same holds for the heads of interim answers and for trailers.

Evidence: TestAnswerWithInvalidHeadIsNoAnswer, each kind of route (run once, repeatable, stream, resumable stream) with each framing (length, chunks, end of the connection), against a daemon with stand-in servers, failed in 12 of 12 on: status 200 for a blank within a name (12), before a colon (12), in an interim answer (12) and in a trailer (4 of the 4 with chunks). Status 000 and control bytes in names, also of interim answers and trailers, were refused already, in 12 of 12; the tests stay. TestMalformedAnswerIsNoBrokenConnection has the same on the client.

Heads, interim heads and trailers are now checked by the grammar of RFC 9110, by golang.org/x/net/http/httpguts, before anything decides by them. Statuses above 599 and control bytes in a reason phrase are rejected too. Such an answer ends the try as answer-malformed, which the log explains, is the server's fault in its report, and counts in backend_answers_rejected by reason. net/http limits the size of interim heads only if nothing looks at them; answerHead does now also if several blanks come before their status.

--- a/internal/adapters/backendhttp/answerhead.go
+++ b/internal/adapters/backendhttp/answerhead.go
@@ -111,7 +111,9 @@
 // cut returns the bytes of a part that belong to heads, and whether the final one ends with them.
 func (e *headEnd) cut(part []byte) (heads []byte, isWhole bool) {
 	for i, b := range part {
-		if e.startBytes < len(e.start) {
+		// net/http accepts several blanks before the status.
+		isExtraBlank := b == ' ' && e.startBytes == len(e.start)-1
+		if e.startBytes < len(e.start) && !isExtraBlank {
 			e.start[e.startBytes] = b
 			e.startBytes++
 		}
--- a/internal/adapters/backendhttp/answerhead_test.go
+++ b/internal/adapters/backendhttp/answerhead_test.go
@@ -55,10 +55,11 @@
 		reason       outcome.Reason
 		report       ports.RunReport
 	}{
-		"short lines":        {16 << 20, statusLine, manyLines(1000), testTimeout, outcome.ReasonAnswerWithoutEnd, oversized},
-		"one long line":      {1 << 20, statusLine + "x: ", strings.Repeat("x", 4096), testTimeout, outcome.ReasonAnswerWithoutEnd, oversized},
-		"a long status line": {1 << 20, "HTTP/1.1 200 ", strings.Repeat("x", 4096), testTimeout, outcome.ReasonAnswerWithoutEnd, oversized},
-		"interim answers":    {16 << 20, "", "HTTP/1.1 102 Processing\r\n\r\n", testTimeout, outcome.ReasonAnswerWithoutEnd, oversized},
+		"short lines":                 {16 << 20, statusLine, manyLines(1000), testTimeout, outcome.ReasonAnswerWithoutEnd, oversized},
+		"one long line":               {1 << 20, statusLine + "x: ", strings.Repeat("x", 4096), testTimeout, outcome.ReasonAnswerWithoutEnd, oversized},
+		"a long status line":          {1 << 20, "HTTP/1.1 200 ", strings.Repeat("x", 4096), testTimeout, outcome.ReasonAnswerWithoutEnd, oversized},
+		"interim answers":             {16 << 20, "", "HTTP/1.1 102 Processing\r\n\r\n", testTimeout, outcome.ReasonAnswerWithoutEnd, oversized},
+		"interim answers, two blanks": {16 << 20, "", "HTTP/1.1  102 Processing\r\n\r\n", testTimeout, outcome.ReasonAnswerWithoutEnd, oversized},
 		"above the limit of one head": {
 			0, statusLine, manyLines(1000), testTimeout, outcome.ReasonAnswerWithoutEnd, oversized,
 		},
--- a/internal/adapters/backendhttp/client.go
+++ b/internal/adapters/backendhttp/client.go
@@ -53,6 +53,8 @@
 	transport *http.Transport
 	// opened and closedCounter count connections by openReason and closeReason.
 	opened, closedCounter *metrics.CounterVec
+	// rejected counts the answers that don't follow the protocol by reason.
+	rejected *metrics.CounterVec
 	// invalidRetryAfter counts the answers with an invalid Retry-After by problem.
 	invalidRetryAfter *metrics.CounterVec
 	// writeWaits are the times that requests waited to be written, by what their callers did.
@@ -132,6 +134,7 @@
 		transport:         transport,
 		opened:            metrics.NewCounterVec(scope, "connections_opened", "reason"),
 		closedCounter:     metrics.NewCounterVec(scope, "connections_closed", "reason"),
+		rejected:          metrics.NewCounterVec(scope, "answers_rejected", "reason"),
 		invalidRetryAfter: metrics.NewCounterVec(scope, "invalid_retry_after", "problem"),
 		writeWaits:        metrics.NewDurationHistogramVec(scope, "write_wait_seconds", "caller"),
 		idle:              make(map[string][]*clientConn),
--- a/internal/adapters/backendhttp/errors.go
+++ b/internal/adapters/backendhttp/errors.go
@@ -62,16 +62,6 @@
 	return e.Cause
 }
 
-// InvalidStatusError reports that an answer has a status that no final answer has.
-type InvalidStatusError struct {
-	Status int
-}
-
-// Error implements error.
-func (e *InvalidStatusError) Error() string {
-	return fmt.Sprintf("the status %d is not that of a final answer", e.Status)
-}
-
 // AnswerTooLargeError reports that a body is larger than the limit of ReadAll.
 type AnswerTooLargeError struct {
 	// Limit is in bytes.
--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -6,9 +6,11 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"hawthornstream/internal/adapters/heldmemory"
+	"hawthornstream/internal/adapters/httpanswer"
 	"hawthornstream/internal/core/memory"
 	"hawthornstream/internal/ports"
 )
@@ -73,6 +75,8 @@
 type Exchange struct {
 	Response *http.Response
 
+	// ctx is the context of the call.
+	ctx      context.Context
 	client   *Client
 	conn     *clientConn
 	watchdog *silenceWatchdog
@@ -119,7 +123,7 @@
 	conn.tracked.correctRequestLine(newCorrectedRequestLine(request))
 	conn.tracked.writeIfWanted(func() bool { return c.callerWaits(request, askedAt) && ctx.Err() == nil })
 	exchange := &Exchange{
-		client: c, conn: conn, watchdog: startSilenceWatchdog(conn.tracked, request),
+		ctx: ctx, client: c, conn: conn, watchdog: startSilenceWatchdog(conn.tracked, request),
 		maxIdleConnections: request.MaxIdleConnections, progress: request.Progress,
 	}
 	response, err := conn.httpConn.RoundTrip(httpRequest)
@@ -130,17 +134,15 @@
 	if err != nil {
 		maybeSent, broke := conn.tracked.disableWrites(), conn.tracked.broke.Load()
 		exchange.Abort()
-		return nil, &ExchangeError{
+		return nil, c.reject(ctx, &ExchangeError{
 			Address: request.Address, MaybeSent: maybeSent, Unwanted: conn.tracked.wasUnwanted(),
 			Silent: conn.tracked.closedAsSilent.Load(), Malformed: maybeSent && !broke,
 			OversizedHead: conn.tracked.head.isOversized(), Cause: err,
-		}
+		})
 	}
-	if response.StatusCode < minFinalStatus {
+	if err := httpanswer.CheckHead(response); err != nil {
 		exchange.Abort()
-		return nil, &ExchangeError{
-			Address: request.Address, MaybeSent: true, Malformed: true, Cause: &InvalidStatusError{Status: response.StatusCode},
-		}
+		return nil, c.reject(ctx, &ExchangeError{Address: request.Address, MaybeSent: true, Malformed: true, Cause: err})
 	}
 	return exchange, nil
 }
@@ -168,9 +170,8 @@
 	return waits
 }
 
-// minFinalStatus is the lowest status of a final answer. net/http handles interim answers
-// itself and passes on what is none, which no HTTP server can relay.
-const minFinalStatus = 200
+// interimCheck makes net/http reject invalid interim answers. answerHead limits them.
+var interimCheck = &httptrace.ClientTrace{Got1xxResponse: httpanswer.CheckInterim}
 
 // nonRewindableBody hides the type of the body. Otherwise net/http would set
 // Request.GetBody and could rewind the body to send the request again.
@@ -181,6 +182,7 @@
 // newHTTPRequest converts a request. The target goes into URL.Opaque, so that
 // net/http sends it unchanged, except as correctedRequestLine says.
 func newHTTPRequest(ctx context.Context, request *Request) (*http.Request, error) {
+	ctx = httptrace.WithClientTrace(ctx, interimCheck)
 	var body io.Reader
 	if len(request.Body) > 0 {
 		body = nonRewindableBody{bytes.NewReader(request.Body)}
@@ -205,13 +207,24 @@
 	if n > 0 && e.progress == ProgressBody {
 		e.conn.tracked.recordProgress(time.Now())
 	}
-	if err == nil || errors.Is(err, io.EOF) {
-		return n, err
+	switch {
+	case err == nil:
+		return n, nil
+	case !errors.Is(err, io.EOF):
+		return n, e.fail(err, !e.conn.tracked.broke.Load())
 	}
-	return n, &ExchangeError{
-		Address: e.conn.address, MaybeSent: true, Silent: e.conn.tracked.closedAsSilent.Load(),
-		Malformed: !e.conn.tracked.broke.Load(), Cause: err,
+	if invalid := httpanswer.CheckTrailer(e.Response); invalid != nil {
+		return n, e.fail(invalid, true)
 	}
+	return n, err
+}
+
+// fail returns the error for a body that can't be read, and counts a rejected answer.
+func (e *Exchange) fail(cause error, malformed bool) *ExchangeError {
+	return e.client.reject(e.ctx, &ExchangeError{
+		Address: e.conn.address, MaybeSent: true, Silent: e.conn.tracked.closedAsSilent.Load(),
+		Malformed: malformed, Cause: cause,
+	})
 }
 
 // NewMessage returns the memory of the messages of a kind that the answer's body brings, each of
--- a/internal/adapters/backendhttp/result.go
+++ b/internal/adapters/backendhttp/result.go
@@ -31,7 +31,7 @@
 }
 
 func exchangeFailureResult(ctx context.Context, err *ExchangeError) ports.RunResult {
-	result := ports.RunResult{End: outcome.Unknown, Detail: "the connection to the backend server broke"}
+	result := ports.RunResult{End: outcome.Unknown, Detail: err.detail()}
 	var refused *heldmemory.MessageRefusedError
 	var headTooLarge *HeadTooLargeError
 	switch {
@@ -53,7 +53,6 @@
 	case err.Malformed:
 		result.Reason = outcome.ReasonAnswerMalformed
 		result.Report.Fault = ports.ServerFaultBroken
-		result.Detail = "what the backend server sent is no answer"
 	default:
 		result.Reason = outcome.ReasonConnectionBroken
 		result.Report.Fault = ports.ServerFaultBroken
--- a/internal/adapters/callerhttp/relayloss.go
+++ b/internal/adapters/callerhttp/relayloss.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"hawthornstream/internal/adapters/httpanswer"
 	"hawthornstream/internal/core/outcome"
 	"hawthornstream/internal/core/overload"
 	"hawthornstream/internal/ports"
@@ -111,7 +112,7 @@
 	}
 	head, _, _ := bytes.Cut(a.head, []byte("\r\n\r\n"))
 	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(a.head)), nil)
-	if err != nil || response.Close {
+	if err != nil || response.Close || httpanswer.CheckHead(response) != nil {
 		return false
 	}
 	_ = response.Body.Close()
--- a/internal/adapters/callerhttp/relayvanished_linux_test.go
+++ b/internal/adapters/callerhttp/relayvanished_linux_test.go
@@ -19,7 +19,7 @@
 	}
 	var attachErr error
 	err = raw.Control(func(fd uintptr) {
-		//lint:ignore SA1019 golang.org/x/net/bpf is no dependency of the module.
+		//lint:ignore SA1019 golang.org/x/net/bpf assembles filters but attaches none to a TCP connection.
 		attachErr = syscall.AttachLsf(int(fd), []syscall.SockFilter{{Code: syscall.BPF_RET, K: 0}})
 	})
 	if err != nil || attachErr != nil {
