Incident: a reset during an upload made a part of an answer whole

A server answered a long upload at once with a 200 that had neither a length nor chunks, sent part of its body and reset the connection while the upload was still written. The caller got the part as a whole answer.

Cause: the kernel reports that a connection was reset once, to a read or to a write. With an upload in progress the write often got the report, and the read found the connection closed as if in order, which ends such an answer.

tcpstate.Duplex remembers the first write that failed, and a read that meets the end waits for the write in progress before it believes it: the write that gets the report is always in progress or over by then. An answer that ends with its connection also needs a request that was taken whole: a server's process that ends with nothing unread closes its connections in order. Such a try ends as connection-broken, which the log explains, is the server's fault in its report, and counts in backend_answers_rejected as cut-off.

--- a/internal/adapters/backendhttp/client.go
+++ b/internal/adapters/backendhttp/client.go
@@ -53,7 +53,7 @@
 	transport *http.Transport
 	// opened and closedCounter count connections by openReason and closeReason.
 	opened, closedCounter *metrics.CounterVec
-	// rejected counts the answers that don't follow the protocol by reason.
+	// rejected counts the answers that break off or don't follow the protocol by reason.
 	rejected *metrics.CounterVec
 	// invalidRetryAfter counts the answers with an invalid Retry-After by problem.
 	invalidRetryAfter *metrics.CounterVec
--- a/internal/adapters/backendhttp/conn.go
+++ b/internal/adapters/backendhttp/conn.go
@@ -23,6 +23,8 @@
 	// requestLine corrects the beginning of the current request; nil if nothing is to be
 	// corrected, or once it was written.
 	requestLine *correctedRequestLine
+	// body is the body of the current request; nil if it has none.
+	body *requestBody
 	// isWanted is asked right before the first byte of the current request is written; nil if
 	// it is always written. unwanted is true if the answer was no.
 	isWanted func() bool
@@ -49,14 +51,14 @@
 }
 
 func newTrackedConn(conn net.Conn) *trackedConn {
-	return &trackedConn{Conn: conn, createdAt: time.Now()}
+	return &trackedConn{Conn: tcpstate.NewDuplex(conn), createdAt: time.Now()}
 }
 
 // beginRequest resets the records for a new request.
 func (c *trackedConn) beginRequest(now time.Time, progress Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writeStarted = false
+	c.writeStarted, c.body = false, nil
 	c.requestLine, c.isWanted, c.unwanted = nil, nil, false
 	c.countsBytes.Store(progress == ProgressByte)
 	c.recordProgress(now)
@@ -70,6 +72,13 @@
 	c.requestLine = requestLine
 }
 
+// expectBody records the body of the current request.
+func (c *trackedConn) expectBody(body *requestBody) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.body = body
+}
+
 // writeIfWanted makes the first write of the current request fail if isWanted returns false
 // right before it.
 func (c *trackedConn) writeIfWanted(isWanted func() bool) {
@@ -145,14 +154,19 @@
 	return requestLine, true
 }
 
-// Read implements net.Conn. A connection that was reset fails with *connectionResetError or
-// the error of the kernel, and never ends with io.EOF. One that brings a head for which there is
-// no memory is closed.
+// Read implements net.Conn. A connection that was reset fails with *connectionResetError,
+// *tcpstate.WriteFailedError or the error of the kernel, and one that ends before the request was
+// sent whole with *requestUnfinishedError. They never end with io.EOF. A connection that brings a
+// head for which there is no memory is closed.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.recordBreak(err)
-	if errors.Is(err, io.EOF) && c.wasReset() {
+	switch {
+	case !errors.Is(err, io.EOF):
+	case c.wasReset():
 		err = &connectionResetError{}
+	case !c.tookWholeBody():
+		err = &requestUnfinishedError{}
 	}
 	if n > 0 && c.countsBytes.Load() {
 		c.recordProgress(time.Now())
@@ -200,6 +214,22 @@
 	return c.foundReset
 }
 
+// tookWholeBody reports whether the connection has taken the whole body of the current request.
+func (c *trackedConn) tookWholeBody() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.body == nil || c.body.isRead()
+}
+
+// requestUnfinishedError is returned by reads of a connection that the server has closed before it
+// took the whole request: it may have broken off its answer.
+type requestUnfinishedError struct{}
+
+// Error implements error.
+func (*requestUnfinishedError) Error() string {
+	return "the connection ended before it had taken the whole request"
+}
+
 // connectionResetError is returned by reads once peek has found a reset.
 type connectionResetError struct{}
 
--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -1,7 +1,6 @@
 package backendhttp
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -114,12 +113,14 @@
 func (c *Client) roundTrip(
 	ctx context.Context, conn *clientConn, request *Request, askedAt time.Time,
 ) (*Exchange, *ExchangeError) {
-	httpRequest, err := newHTTPRequest(ctx, request)
+	body := newRequestBody(request.Body)
+	httpRequest, err := newHTTPRequest(ctx, request, body)
 	if err != nil {
 		c.closeConn(conn, closeReasonAborted)
 		return nil, &ExchangeError{Address: request.Address, Cause: err}
 	}
 	conn.tracked.beginRequest(time.Now(), request.Progress)
+	conn.tracked.expectBody(body)
 	conn.tracked.correctRequestLine(newCorrectedRequestLine(request))
 	conn.tracked.writeIfWanted(func() bool { return c.callerWaits(request, askedAt) && ctx.Err() == nil })
 	exchange := &Exchange{
@@ -173,21 +174,11 @@
 // interimCheck makes net/http reject invalid interim answers. answerHead limits them.
 var interimCheck = &httptrace.ClientTrace{Got1xxResponse: httpanswer.CheckInterim}
 
-// nonRewindableBody hides the type of the body. Otherwise net/http would set
-// Request.GetBody and could rewind the body to send the request again.
-type nonRewindableBody struct {
-	io.Reader
-}
-
 // newHTTPRequest converts a request. The target goes into URL.Opaque, so that
 // net/http sends it unchanged, except as correctedRequestLine says.
-func newHTTPRequest(ctx context.Context, request *Request) (*http.Request, error) {
+func newHTTPRequest(ctx context.Context, request *Request, body *requestBody) (*http.Request, error) {
 	ctx = httptrace.WithClientTrace(ctx, interimCheck)
-	var body io.Reader
-	if len(request.Body) > 0 {
-		body = nonRewindableBody{bytes.NewReader(request.Body)}
-	}
-	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, "http://"+request.Address, body)
+	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, "http://"+request.Address, body.reader())
 	if err != nil {
 		return nil, err
 	}
