--- a/internal/adapters/backendhttp/client.go
+++ b/internal/adapters/backendhttp/client.go
@@ -224,7 +224,7 @@
 
 // usable reports whether an idle connection may carry another request.
 func (conn *clientConn) usable(now time.Time) bool {
-	return conn.httpConn.Err() == nil && now.Sub(conn.idleSince) < conn.maxIdleTime
+	return conn.httpConn.Err() == nil && !conn.tracked.broke.Load() && now.Sub(conn.idleSince) < conn.maxIdleTime
 }
 
 // acquireConn returns an idle connection, or a new one if none is idle or
--- a/internal/adapters/backendhttp/conn.go
+++ b/internal/adapters/backendhttp/conn.go
@@ -36,6 +36,8 @@
 	foundReset bool
 
 	closedAsSilent atomic.Bool
+	// resetInWrite is true once a write has found that the server has reset the connection.
+	resetInWrite atomic.Bool
 	// broke is true once a read or write has failed, except after the connection was closed
 	// here: the server has ended it, or can't be reached.
 	broke atomic.Bool
@@ -109,19 +111,29 @@
 }
 
 // Write implements net.Conn. After disableWrites, and for a request that is no longer wanted, it
-// fails with *writesDisabledError.
+// fails with *writesDisabledError. Once the server has reset the connection, the rest of the request
+// is dropped without an error: what the server sent before may be a whole answer, which net/http
+// would drop for the error.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	requestLine, started := c.startWrite(len(p))
-	if !started {
+	switch {
+	case !started:
 		return 0, &writesDisabledError{}
+	case c.resetInWrite.Load():
+		return len(p), nil
 	}
+	var n int
+	var err error
 	if requestLine != nil {
-		n, err := requestLine.write(c.Conn, p)
-		c.recordBreak(err)
-		return n, err
+		n, err = requestLine.write(c.Conn, p)
+	} else {
+		n, err = c.Conn.Write(p)
 	}
-	n, err := c.Conn.Write(p)
 	c.recordBreak(err)
+	if tcpstate.IsReset(err) {
+		c.resetInWrite.Store(true)
+		return len(p), nil
+	}
 	return n, err
 }
 
--- a/internal/adapters/tcpstate/duplex.go
+++ b/internal/adapters/tcpstate/duplex.go
@@ -91,6 +91,12 @@
 	return e.Cause
 }
 
+// IsReset reports whether a write failed with err because the other end had closed the connection
+// before. What it sent until then can still be read.
+func IsReset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // FollowsClose reports whether the other end had closed its side in order before the write failed:
 // all that it has sent was received. The kernel then reports a reset as EPIPE.
 func (e *WriteFailedError) FollowsClose() bool {
