Answers of the store, the VM list and the operators' API that aren't HTTP

A name with a blank, or an invalid interim head or trailer, was no obstacle for an answer of the platform's store or object API, for the list of VMs, nor for what the operators' client got from a daemon: a write counted as done, a list as read, a change as accepted. The operators' client also took a status 000 for a daemon's refusal. The store's answer to a write counted though its body broke off.

Control bytes in names were refused already, and so was status 000 elsewhere.

httpanswer.Transport checks heads, interim heads and trailers, and knows of failed writes, for all clients that use the pool of net/http. It rejects with a typed error, which each of these logs or prints, and counts platform_answers_rejected and vm_list_answers_rejected by reason. net/http no longer limits the size of interim heads together, so their number is limited.

--- a/internal/adapters/objectapi/client_test.go
+++ b/internal/adapters/objectapi/client_test.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/goleak"
 
+	"hawthornstream/internal/adapters/httpanswer/answertest"
 	"hawthornstream/internal/ports"
 )
 
@@ -153,3 +154,19 @@
 		t.Errorf("error %v, want a PlatformUnavailableError", err)
 	}
 }
+
+// An answer that isn't HTTP doesn't show that the platform has carried out a request.
+func TestInvalidAnswerIsNoAnswer(t *testing.T) {
+	for name, handler := range answertest.Handlers() {
+		t.Run(name, func(t *testing.T) {
+			client, _ := newTestClient(t, handler)
+			var unavailable *ports.PlatformUnavailableError
+			if version, err := client.Put(t.Context(), "name", nil, 0); !errors.As(err, &unavailable) {
+				t.Errorf("put gave version %d, error %v", version, err)
+			}
+			if object, err := client.Get(t.Context(), "name"); !errors.As(err, &unavailable) {
+				t.Errorf("get gave %+v, error %v", object, err)
+			}
+		})
+	}
+}
--- a/internal/adapters/objectapi/transport.go
+++ b/internal/adapters/objectapi/transport.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"hawthornstream/internal/adapters/httpanswer"
+	"hawthornstream/internal/adapters/metrics"
 )
 
 const (
@@ -37,7 +40,8 @@
 // NewHTTPClient returns an HTTP client for any form of the platform's API. It
 // detects dead connections with keep-alive probes and TCP_USER_TIMEOUT, closes the idle
 // ones after a request that got no answer, and returns redirects to the caller instead of
-// following them. It counts such requests in the scope as platform_requests_unanswered.
+// following them. It counts such requests in the scope as platform_requests_unanswered, and the
+// answers that break off or don't follow the protocol as platform_answers_rejected by reason.
 func NewHTTPClient(scope tally.Scope) *http.Client {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
@@ -48,14 +52,14 @@
 	}
 	return &http.Client{
 		Transport: &transport{
-			Transport: &http.Transport{
+			Transport: httpanswer.NewTransport(&http.Transport{
 				DialContext:            dialer.DialContext,
 				MaxIdleConns:           maxIdleConns,
 				MaxIdleConnsPerHost:    maxIdleConns,
 				IdleConnTimeout:        idleTimeout,
 				DisableCompression:     true,
 				MaxResponseHeaderBytes: maxHeadBytes,
-			},
+			}, metrics.NewCounterVec(scope, "platform_answers_rejected", "reason")),
 			unanswered: scope.Counter("platform_requests_unanswered"),
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -66,7 +70,7 @@
 // is running when another one gets no answer. What lies between loses track of all
 // connections at once; each of them would take the next request up to its timeout.
 type transport struct {
-	*http.Transport
+	*httpanswer.Transport
 	unanswered tally.Counter
 }
 
--- a/internal/adapters/vmlist/vmlist.go
+++ b/internal/adapters/vmlist/vmlist.go
@@ -16,7 +16,9 @@
 	"github.com/uber-go/tally/v4"
 
 	"hawthornstream/internal/adapters/heldmemory"
+	"hawthornstream/internal/adapters/httpanswer"
 	"hawthornstream/internal/adapters/logging"
+	"hawthornstream/internal/adapters/metrics"
 	"hawthornstream/internal/core/fieldcheck"
 	"hawthornstream/internal/core/jsondepth"
 	"hawthornstream/internal/core/memory"
@@ -61,13 +63,17 @@
 }
 
 // New returns a client for the list at the URL. It counts its requests, failed
-// requests and received bytes (compressed, bodies only) in the scope.
+// requests, received bytes (compressed, bodies only) and rejected answers in the scope.
 func New(listURL string, account *heldmemory.Account, scope tally.Scope, logger *log.Logger) *Client {
 	tagged := scope.Tagged(map[string]string{"operation": "list-vms"})
 	return &Client{
 		listURL: listURL,
 		httpClient: &http.Client{
-			Timeout: requestTimeout, Transport: &http.Transport{MaxIdleConns: 1, MaxResponseHeaderBytes: maxHeadBytes},
+			Timeout: requestTimeout,
+			Transport: httpanswer.NewTransport(
+				&http.Transport{MaxIdleConns: 1, MaxResponseHeaderBytes: maxHeadBytes},
+				metrics.NewCounterVec(tagged, "vm_list_answers_rejected", "reason"),
+			),
 		},
 		requests:      tagged.Counter("vm_list_requests"),
 		failures:      tagged.Counter("vm_list_failures"),
--- a/internal/adapters/vmlist/vmlist_test.go
+++ b/internal/adapters/vmlist/vmlist_test.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"hawthornstream/internal/adapters/heldmemory"
+	"hawthornstream/internal/adapters/httpanswer/answertest"
 	"hawthornstream/internal/adapters/logging"
 	"hawthornstream/internal/ports"
 	"hawthornstream/internal/settings"
@@ -198,3 +199,26 @@
 		t.Error("the head was read")
 	}
 }
+
+// An answer that isn't HTTP is no list, and doesn't revalidate one.
+func TestInvalidAnswerIsNoList(t *testing.T) {
+	for name, invalid := range answertest.Handlers() {
+		t.Run(name, func(t *testing.T) {
+			client := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("If-None-Match") != "" {
+					invalid(w, r)
+					return
+				}
+				w.Header().Set("ETag", `"1"`)
+				_, _ = io.WriteString(w, `{"vms":[]}`)
+			})
+			if _, err := client.List(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			var missing *MissingListError
+			if _, err := client.List(t.Context()); err == nil || errors.As(err, &missing) {
+				t.Errorf("the answer was read: %v", err)
+			}
+		})
+	}
+}
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"time"
 
+	"hawthornstream/internal/adapters/httpanswer"
 	"hawthornstream/internal/ports"
 )
 
@@ -43,7 +44,7 @@
 	return &client{
 		servers:    servers,
 		key:        key,
-		httpClient: &http.Client{Timeout: attemptTimeout, Transport: transport},
+		httpClient: &http.Client{Timeout: attemptTimeout, Transport: httpanswer.NewTransport(transport, nil)},
 	}
 }
 
--- a/internal/ctl/client_test.go
+++ b/internal/ctl/client_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"hawthornstream/internal/adapters/httpanswer/answertest"
 )
 
 // An answer that was cut at the limit of its size passed as whole if only spaces followed, and
@@ -45,3 +47,18 @@
 		})
 	}
 }
+
+// An answer that isn't HTTP leaves the outcome of a change unknown.
+func TestInvalidAnswerIsNoAnswer(t *testing.T) {
+	for name, handler := range answertest.Handlers() {
+		t.Run(name, func(t *testing.T) {
+			daemon := newFakeDaemon(t, handler)
+			var answer struct{}
+			err := newClient([]string{daemon.URL}, "key", nil).sendToAny(t.Context(), request{method: http.MethodPost, path: "/"}, &answer)
+			var unreachable *unreachableError
+			if !errors.As(err, &unreachable) || !unreachable.MayHaveBeenSent {
+				t.Errorf("got error %v", err)
+			}
+		})
+	}
+}
