--- a/testbench/soak/backends.go
+++ b/testbench/soak/backends.go
@@ -64,6 +64,8 @@
 	// declineTwice declines the request, runs the next one on the connection, and answers
 	// that with the same refusal.
 	declineTwice
+	// invalidHead runs the request and answers with a head that isn't HTTP.
+	invalidHead
 	failureModeCount
 	// anyFailure fails each request in another of the ways above.
 	anyFailure
@@ -195,6 +197,9 @@
 	case breakWithinHead:
 		s.breakWithinHead(w, id)
 		return
+	case invalidHead:
+		s.sendInvalidHead(w, id)
+		return
 	case neverAnswer:
 		select {
 		case <-r.Context().Done():
--- a/testbench/soak/badanswers.go
+++ b/testbench/soak/badanswers.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"hawthornstream/platform/platformtest"
@@ -49,6 +50,25 @@
 	_ = conn.Close()
 }
 
+// invalidHeads replace parts of sound heads by others that aren't HTTP.
+var invalidHeads = [][2]string{
+	{"HTTP/1.1 200 OK", "HTTP/1.1 000 None"},
+	{"Content-Length: ", "Content-Length : "},
+	{"\r\n\r\n", "\r\nX Field: v\r\n\r\n"},
+	{"\r\n\r\n", "\r\nX\x01Field: v\r\n\r\n"},
+}
+
+// sendInvalidHead sends an answer whose head isn't HTTP and closes the connection. Its body shows
+// the checker that it was passed on.
+func (s *backendServer) sendInvalidHead(w http.ResponseWriter, id string) {
+	body := "no " + plainBody(id)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	head, invalid := rawHead(w, http.StatusOK), invalidHeads[rand.IntN(len(invalidHeads))]
+	conn, _ := hijack(w)
+	_, _ = io.WriteString(conn, strings.Replace(head, invalid[0], invalid[1], 1)+body)
+	_ = conn.Close()
+}
+
 // declineTwice declines the request r, and runs the next one on its connection but sends the
 // same refusal once more.
 func (s *backendServer) declineTwice(w http.ResponseWriter, r *http.Request) {
