--- a/internal/adapters/backendhttp/answerhead.go
+++ b/internal/adapters/backendhttp/answerhead.go
@@ -99,6 +99,9 @@
 	return memory.IsOversized(memory.KindHead, memory.HeadBytes(h.text, h.lines))
 }
 
+// statusSeparator is what separates the version of a status line from the status.
+const statusSeparator = ' '
+
 // headEnd finds the end of a final head, after any number of interim ones.
 type headEnd struct {
 	// start is the beginning of the status line, up to the first digit of the status.
@@ -111,9 +114,9 @@
 // cut returns the bytes of a part that belong to heads, and whether the final one ends with them.
 func (e *headEnd) cut(part []byte) (heads []byte, isWhole bool) {
 	for i, b := range part {
-		// net/http accepts several blanks before the status.
-		isExtraBlank := b == ' ' && e.startBytes == len(e.start)-1
-		if e.startBytes < len(e.start) && !isExtraBlank {
+		// net/http skips further separators before the status.
+		isSkipped := b == statusSeparator && e.startBytes == len(e.start)-1
+		if e.startBytes < len(e.start) && !isSkipped {
 			e.start[e.startBytes] = b
 			e.startBytes++
 		}
--- a/internal/adapters/backendhttp/conn.go
+++ b/internal/adapters/backendhttp/conn.go
@@ -23,7 +23,7 @@
 	// requestLine corrects the beginning of the current request; nil if nothing is to be
 	// corrected, or once it was written.
 	requestLine *correctedRequestLine
-	// body is the body of the current request; nil if it has none.
+	// body is the body of the current request; nil before the first one.
 	body *requestBody
 	// isWanted is asked right before the first byte of the current request is written; nil if
 	// it is always written. unwanted is true if the answer was no.
--- a/internal/adapters/backendhttp/exchange.go
+++ b/internal/adapters/backendhttp/exchange.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		maybeSent, broke := conn.tracked.disableWrites(), conn.tracked.broke.Load()
 		exchange.Abort()
-		return nil, c.reject(ctx, &ExchangeError{
+		return nil, c.rejectHead(ctx, &ExchangeError{
 			Address: request.Address, MaybeSent: maybeSent, Unwanted: conn.tracked.wasUnwanted(),
 			Silent: conn.tracked.closedAsSilent.Load(), Malformed: maybeSent && !broke,
 			OversizedHead: conn.tracked.head.isOversized(), Cause: err,
@@ -143,7 +143,7 @@
 	}
 	if err := httpanswer.CheckHead(response); err != nil {
 		exchange.Abort()
-		return nil, c.reject(ctx, &ExchangeError{Address: request.Address, MaybeSent: true, Malformed: true, Cause: err})
+		return nil, c.rejectHead(ctx, &ExchangeError{Address: request.Address, MaybeSent: true, Malformed: true, Cause: err})
 	}
 	return exchange, nil
 }
@@ -202,22 +202,14 @@
 	case err == nil:
 		return n, nil
 	case !errors.Is(err, io.EOF):
-		return n, e.fail(err, !e.conn.tracked.broke.Load())
+		return n, e.rejectBody(err, !e.conn.tracked.broke.Load())
 	}
 	if invalid := httpanswer.CheckTrailer(e.Response); invalid != nil {
-		return n, e.fail(invalid, true)
+		return n, e.rejectBody(invalid, true)
 	}
 	return n, err
 }
 
-// fail returns the error for a body that can't be read, and counts a rejected answer.
-func (e *Exchange) fail(cause error, malformed bool) *ExchangeError {
-	return e.client.reject(e.ctx, &ExchangeError{
-		Address: e.conn.address, MaybeSent: true, Silent: e.conn.tracked.closedAsSilent.Load(),
-		Malformed: malformed, Cause: cause,
-	})
-}
-
 // NewMessage returns the memory of the messages of a kind that the answer's body brings, each of
 // which may hold uncounted bytes without asking. The connection is closed if one must make room.
 func (e *Exchange) NewMessage(kind memory.Kind, uncounted int64) *heldmemory.Message {
--- a/internal/adapters/backendhttp/rejection.go
+++ b/internal/adapters/backendhttp/rejection.go
@@ -10,23 +10,37 @@
 	"hawthornstream/internal/core/outcome"
 )
 
-// reject counts an answer that breaks off without showing it, or that doesn't follow the protocol,
-// and returns its failure.
-func (c *Client) reject(ctx context.Context, failure *ExchangeError) *ExchangeError {
-	if reason := failure.rejectReason(ctx); reason != "" {
+// rejectHead counts an answer whose head doesn't follow the protocol, and returns its failure. A
+// connection that breaks before the head is whole has brought no answer.
+func (c *Client) rejectHead(ctx context.Context, failure *ExchangeError) *ExchangeError {
+	if reason := failure.rejectReason(ctx); reason != "" && reason != httpanswer.ReasonCutOff {
 		c.rejected.Inc(reason)
 	}
 	return failure
 }
 
-// rejectReason returns the label by which the answer is counted as rejected, "" if it isn't.
-func (e *ExchangeError) rejectReason(ctx context.Context) string {
-	if reason := httpanswer.RejectReason(e.Cause); reason != "" {
-		return reason
+// rejectBody returns the failure of an answer whose body can't be read. It counts one that doesn't
+// follow the protocol, or breaks off without showing it.
+func (e *Exchange) rejectBody(cause error, malformed bool) *ExchangeError {
+	failure := &ExchangeError{
+		Address: e.conn.address, MaybeSent: true, Silent: e.conn.tracked.closedAsSilent.Load(),
+		Malformed: malformed, Cause: cause,
 	}
+	if reason := failure.rejectReason(e.ctx); reason != "" {
+		e.client.rejected.Inc(reason)
+	}
+	return failure
+}
+
+// rejectReason returns the label by which the answer is counted as rejected, "" if it isn't. ctx is
+// the context of the call.
+func (e *ExchangeError) rejectReason(ctx context.Context) string {
 	if e.isCutOff() {
 		return httpanswer.ReasonCutOff
 	}
+	if reason := httpanswer.RejectReason(e.Cause); reason != "" {
+		return reason
+	}
 	// An exchange that was closed here fails like one whose answer can't be parsed.
 	closedHere := errors.Is(e.Cause, net.ErrClosed)
 	if !closedHere && exchangeFailureResult(ctx, e).Reason == outcome.ReasonAnswerMalformed {
--- a/internal/adapters/callerhttp/relay.go
+++ b/internal/adapters/callerhttp/relay.go
@@ -49,8 +49,8 @@
 // at the daemon, as it would here.
 type relay struct {
 	caller, peer *net.TCPConn
-	// peerBytes is peer, as it is read and written.
-	peerBytes *tcpstate.Duplex
+	// peerConn reads from and writes to peer.
+	peerConn *tcpstate.Duplex
 	// gather reports whether bytes toward the caller should be passed on together.
 	gather func() bool
 	// refusal returns what to send to the caller when the daemon has ended the connection;
@@ -64,7 +64,7 @@
 // run relays until both directions have ended, and closes both connections.
 func (r *relay) run() {
 	r.turn = newRelayTurn()
-	r.peerBytes = tcpstate.NewDuplex(r.peer)
+	r.peerConn = tcpstate.NewDuplex(r.peer)
 	var requests sync.WaitGroup
 	requests.Go(r.relayRequests)
 	r.relayAnswers()
@@ -85,7 +85,7 @@
 			return
 		}
 		r.turn.recordRequest()
-		if _, err := r.peerBytes.Write(buffer[:n]); err != nil {
+		if _, err := r.peerConn.Write(buffer[:n]); err != nil {
 			// The daemon has closed or lost the connection; relayAnswers passes on what
 			// it has sent before.
 			return
@@ -100,7 +100,7 @@
 	// An error means that the connection is closed already, which Read reports.
 	_ = r.peer.SetReadDeadline(time.Now().Add(silentRelayPeriod))
 	for {
-		n, readErr := r.peerBytes.Read(buffer[:])
+		n, readErr := r.peerConn.Read(buffer[:])
 		if n > 0 {
 			r.turn.recordAnswer(buffer[:n])
 		}
@@ -134,8 +134,8 @@
 	_ = r.caller.SetReadDeadline(time.Now().Add(relayLinger))
 }
 
-// endOfPeer returns io.EOF for the end of a daemon's side that was in order, though the daemon has
-// not taken all of a request: one that it has answered, or is about to.
+// endOfPeer returns io.EOF if the daemon closed its side in order before it reset the connection, as
+// after an answer to a request that it has not read to the end, and otherwise readErr.
 func endOfPeer(readErr error) error {
 	var writeFailed *tcpstate.WriteFailedError
 	if errors.As(readErr, &writeFailed) && writeFailed.FollowsClose() {
--- a/internal/adapters/httpanswer/answertest/answertest.go
+++ b/internal/adapters/httpanswer/answertest/answertest.go
@@ -8,7 +8,7 @@
 	"strings"
 )
 
-// invalidParts replace parts of a sound head with the given length of the body.
+// invalidParts has the text of a sound answer that is replaced, and by what, by what is wrong then.
 var invalidParts = map[string][2]string{
 	"status 000":              {"200 OK", "000 None"},
 	"blank in a name":         {"\r\n\r\n", "\r\nX Field: v\r\n\r\n"},
--- a/internal/adapters/httpanswer/transport.go
+++ b/internal/adapters/httpanswer/transport.go
@@ -47,24 +47,28 @@
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := t.Transport.RoundTrip(request.WithContext(checkInterims(request.Context())))
 	if err != nil {
-		return nil, t.reject(err)
+		// A connection that breaks before the head is whole has brought no answer.
+		if reason := RejectReason(err); reason != ReasonCutOff {
+			t.countRejected(reason)
+		}
+		return nil, err
 	}
 	if err := CheckHead(response); err != nil {
 		_ = response.Body.Close()
 		// The connection of an answer without a body may be idle already.
 		t.CloseIdleConnections()
-		return nil, t.reject(err)
+		t.countRejected(RejectReason(err))
+		return nil, err
 	}
 	response.Body = &checkedBody{ReadCloser: response.Body, response: response, transport: t}
 	return response, nil
 }
 
-// reject counts an answer that failed with err if it was rejected, and returns err.
-func (t *Transport) reject(err error) error {
-	if reason := RejectReason(err); reason != "" && t.rejected != nil {
+// countRejected counts an answer that was rejected for the reason, unless that is empty.
+func (t *Transport) countRejected(reason string) {
+	if reason != "" && t.rejected != nil {
 		t.rejected.Inc(reason)
 	}
-	return err
 }
 
 // checkInterims returns a context for a request whose interim answers are checked and limited.
@@ -95,5 +99,6 @@
 			err = invalid
 		}
 	}
-	return n, b.transport.reject(err)
+	b.transport.countRejected(RejectReason(err))
+	return n, err
 }
