Load reports that fail are logged with their error

A load report whose answer was rejected was counted, and named nowhere: the other readers of answers log why.

--- a/internal/app/sharing/loads.go
+++ b/internal/app/sharing/loads.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"hawthornstream/internal/core/fieldcheck"
 	"hawthornstream/internal/ports"
 )
 
@@ -62,6 +63,10 @@
 		s.owner.ObserveProbe(now, server.Name, true, roundTrip)
 	default:
 		m.scope.Counter("probes_failed").Inc(1)
+		if m.limiter.Allow("load-report-failed", string(service)) {
+			m.logger.Info().Str("event", "load-report-failed").Str("service", string(service)).
+				Str("server", string(server.Name)).Str("error", fieldcheck.Quote(err.Error())).Msg("")
+		}
 		s.owner.ObserveProbe(now, server.Name, false, roundTrip)
 	}
 	m.grantFreeSlots(now, s)
--- a/internal/app/sharing/manager.go
+++ b/internal/app/sharing/manager.go
@@ -7,6 +7,7 @@
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
+	"hawthornstream/internal/adapters/logging"
 	"hawthornstream/internal/core/admission"
 	"hawthornstream/internal/core/configuration"
 	"hawthornstream/internal/core/fairshare"
@@ -20,6 +21,7 @@
 type Manager struct {
 	experimental     settings.Experimental
 	logger           *log.Logger
+	limiter          *logging.Limiter
 	scope            tally.Scope
 	directory        ports.Directory
 	configuration    ports.ConfigurationSource
@@ -52,6 +54,7 @@
 	m := &Manager{
 		experimental:     p.Settings.Experimental,
 		logger:           p.Logger,
+		limiter:          logging.NewLimiter(p.Logger),
 		scope:            p.Scope.SubScope("sharing"),
 		directory:        p.Directory,
 		configuration:    p.Configuration,
