Review: one malformed request ends the processes of other machines

Cause: Token-Count is taken with any number. The predicted time of 2e15 tokens overflows, the log library panics, the slot is never released, and the load of the leaked slot goes to all peers with every report. Their next silent stream panics on the goroutine of a timer.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -13,7 +13,8 @@
 type scenario func(b *bed) (broken int, err error)
 
 var scenarios = map[string]scenario{
-	"wake": wake,
+	"count": count,
+	"wake":  wake,
 }
 
 func main() {
