--- a/review/standin-3/bed.go
+++ b/review/standin-3/bed.go
@@ -138,9 +138,9 @@
 }
 
 // startDaemons starts one daemon in each of the given zones and waits until they are ready.
-func (b *bed) startDaemons(options daemonOptions, inZones ...string) error {
+func (b *bed) startDaemons(inZones ...string) error {
 	for i, zone := range inZones {
-		d, err := newDaemon(b.folder, fmt.Sprintf("front-%s-%d", zone, i+1), zone, b.store, options)
+		d, err := newDaemon(b.folder, fmt.Sprintf("front-%s-%d", zone, i+1), zone, b.store)
 		if err != nil {
 			return err
 		}
--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -45,6 +45,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// closes says that the daemon closes the connection after the answer.
+	closes bool
 	// err is nil for a whole answer. status is zero if not even a head came.
 	err error
 }
@@ -98,12 +100,12 @@
 		return &answer{err: err}
 	}
 	body, err := io.ReadAll(response.Body)
-	return &answer{status: response.StatusCode, header: response.Header, body: body, err: err}
+	return &answer{status: response.StatusCode, header: response.Header, body: body, closes: response.Close, err: err}
 }
 
 // canKeep reports whether the connection may carry another request after the answer.
 func (a *answer) canKeep() bool {
-	return a.err == nil && a.header.Get("Connection") != "close"
+	return a.err == nil && !a.closes
 }
 
 func (c *connection) close() { _ = c.conn.Close() }
--- a/review/standin-3/count.go
+++ b/review/standin-3/count.go
@@ -39,7 +39,7 @@
 			}
 		}
 	}
-	if err := b.startDaemons(daemonOptions{}, "z1", "z2", "z3"); err != nil {
+	if err := b.startDaemons("z1", "z2", "z3"); err != nil {
 		return 0, err
 	}
 	b.record.say("%d daemons are ready", len(b.daemons))
--- a/review/standin-3/daemon.go
+++ b/review/standin-3/daemon.go
@@ -20,21 +20,12 @@
 // zones are the zones of all deployments here, each a region of its own.
 var zones = []string{"z1", "z2", "z3"}
 
-// daemonOptions are what differs between the scenarios.
-type daemonOptions struct {
-	// memoryMiB is the machine's memory.
-	memoryMiB int
-	// oneCore starts the daemon as Go does on a machine with one core.
-	oneCore bool
-}
-
 // daemon is one process of the product.
 type daemon struct {
 	name, zone, host string
 	command          *exec.Cmd
 	settings         string
 	logPath          string
-	options          daemonOptions
 	// exited is closed when the process has ended.
 	exited chan struct{}
 
@@ -48,15 +39,12 @@
 func (d *daemon) ready() string { return d.host + ":8780" }
 
 // newDaemon writes the settings as deploy/settings.json.tmpl has them.
-func newDaemon(folder, name, zone string, s *store, options daemonOptions) (*daemon, error) {
+func newDaemon(folder, name, zone string, s *store) (*daemon, error) {
 	random := rand.Uint32()
 	d := &daemon{
-		name: name, zone: zone, options: options,
+		name: name, zone: zone,
 		host: fmt.Sprintf("127.%d.%d.%d", 1+random%250, (random>>8)%250, 1+(random>>16)%250),
 	}
-	if d.options.memoryMiB == 0 {
-		d.options.memoryMiB = 284
-	}
 	var regions []string
 	for _, z := range zones {
 		regions = append(regions, fmt.Sprintf("%q: %q", z, "region-"+z))
@@ -71,12 +59,12 @@
     "interface": "objects", "objectAPI": "http://%[5]s", "vmListPeriod": "100ms", "regions": {%[6]s}
   },
   "operators": {},
-  "limits": {"body": "4MiB", "header": "16KiB", "memory": "%[7]dMiB", "files": 4100, "idle": "5s", "processorWait": "30ms", "processors": 0.4},
+  "limits": {"body": "4MiB", "header": "16KiB", "memory": "284MiB", "files": 4100, "idle": "5s", "processorWait": "30ms", "processors": 0.4},
   "retries": {"part": 0.2, "fleetFloor": 58},
   "stop": {"killedAfter": "8s", "announce": "2500ms"},
   "log": {"level": "info"}
 }
-`, name, zone, "region-"+zone, d.host, s.address, strings.Join(regions, ", "), d.options.memoryMiB)
+`, name, zone, "region-"+zone, d.host, s.address, strings.Join(regions, ", "))
 	d.settings = filepath.Join(folder, name+".json")
 	d.logPath = filepath.Join(folder, name+".log")
 	return d, os.WriteFile(d.settings, []byte(text), 0o600)
@@ -92,9 +80,6 @@
 	d.command.Stdout, d.command.Stderr = log, log
 	// A test that is killed leaves no process behind.
 	d.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if d.options.oneCore {
-		d.command.Env = append(os.Environ(), "GOMAXPROCS=1")
-	}
 	if err := d.command.Start(); err != nil {
 		return err
 	}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -13,8 +13,9 @@
 type scenario func(b *bed) (broken int, err error)
 
 var scenarios = map[string]scenario{
-	"count": count,
-	"wake":  wake,
+	"count":   count,
+	"relayed": relayed,
+	"wake":    wake,
 }
 
 func main() {
--- a/review/standin-3/wake.go
+++ b/review/standin-3/wake.go
@@ -69,7 +69,7 @@
 			}
 		}
 	}
-	if err := b.startDaemons(daemonOptions{}, "z1", "z2", "z3", "z1", "z2", "z3", "z1", "z2", "z3"); err != nil {
+	if err := b.startDaemons("z1", "z2", "z3", "z1", "z2", "z3", "z1", "z2", "z3"); err != nil {
 		return 0, err
 	}
 	b.record.say("%d daemons are ready", len(b.daemons))
